--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := policy wire proxy cli standins
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/jackdawcrank-$(p))
+SOURCES := packages bench
+
+.PHONY: demo test lint format types bench clean
+
+$(VENV)/.installed: requirements/dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements/dev.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/jackdawcrank demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+
+types: $(VENV)/.installed
+	$(BIN)/mypy packages/*/src bench
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+bench: $(VENV)/.installed
+	$(BIN)/python bench/run.py
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command line of the jackdawcrank database proxy."""
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions of the jackdawcrank database proxy."""
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/values/position.py
@@ -0,0 +1,39 @@
+"""A place in a database group's replication log."""
+
+import attrs
+
+
+@attrs.frozen(order=True)
+class Position:
+    """A log position: the term that wrote the entry and the entry's offset.
+
+    The order is meaningful between positions of one branch only.
+
+    Attributes:
+      term: The term under which the entry was written; 0 is before any term.
+      offset: The number of log entries up to and including this one.
+    """
+
+    term: int
+    offset: int
+
+    def __str__(self) -> str:
+        return f"{self.term}:{self.offset}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Position":
+        """Return the position written as `term:offset`.
+
+        Args:
+          text: The written form, for example `3:1024`.
+
+        Raises:
+          ValueError: The text is not two non-negative integers.
+        """
+        term, separator, offset = text.partition(":")
+        if not separator or not (term.isdecimal() and offset.isdecimal()):
+            raise ValueError(f"not a log position: {text[:40]!r}")
+        return cls(int(term), int(offset))
+
+
+ORIGIN = Position(0, 0)
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/values/test_branch.py
@@ -0,0 +1,44 @@
+"""Tests of branches."""
+
+import pytest
+
+from jackdawcrank_policy.values import Branch, Position, TermStart
+
+
+@pytest.fixture
+def branch() -> Branch:
+    return Branch((TermStart(1, 0), TermStart(3, 10), TermStart(4, 10)))
+
+
+@pytest.mark.parametrize(
+    ("term", "offset", "kept"),
+    [
+        (0, 0, True),
+        (1, 10, True),
+        (1, 11, False),
+        (2, 5, False),
+        (3, 10, True),
+        (3, 11, False),
+        (4, 99, True),
+        (5, 1, False),
+    ],
+)
+def test_keeps_only_entries_below_the_next_term(
+    branch: Branch, term: int, offset: int, kept: bool
+) -> None:
+    assert branch.keeps(Position(term, offset)) is kept
+
+
+def test_extension_refuses_an_older_term(branch: Branch) -> None:
+    with pytest.raises(ValueError, match="not above"):
+        branch.extended(TermStart(4, 12))
+
+
+def test_position_survives_its_written_form() -> None:
+    assert Position.parse(str(Position(7, 42))) == Position(7, 42)
+
+
+@pytest.mark.parametrize("text", ["", "1", "1:", ":1", "-1:2", "a:b", "1:2:3"])
+def test_malformed_position_is_refused(text: str) -> None:
+    with pytest.raises(ValueError, match="not a log position"):
+        Position.parse(text)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/__init__.py
@@ -0,0 +1,1 @@
+"""The jackdawcrank database proxy process."""
--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and resource types of the jackdawcrank database proxy."""
