--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers."""
