--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/loader.py
@@ -0,0 +1,122 @@
+"""Reads settings from JSON and checks every key."""
+
+import json
+import pathlib
+import typing
+from typing import Any
+
+import attrs
+
+from jackdawcrank_wire.settings.caller_login import CallerLogin
+from jackdawcrank_wire.settings.settings import Settings, setting_fields
+
+
+@attrs.frozen
+class SettingsErrors:
+    """What is wrong with a settings file.
+
+    Attributes:
+      source: The file's path, or another name of where the text came from.
+      errors: One sentence for each wrong, unknown or missing key.
+    """
+
+    source: str
+    errors: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return "\n".join(f"{self.source}: {error}" for error in self.errors)
+
+
+class _WrongValue(Exception):
+    """A value does not fit its key."""
+
+
+def load_settings(path: pathlib.Path) -> Settings | SettingsErrors:
+    """Return the settings in a JSON file, or what is wrong with it.
+
+    Args:
+      path: The file.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return SettingsErrors(str(path), (f"cannot be read: {error}",))
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, source: str) -> Settings | SettingsErrors:
+    """Return the settings in a JSON text, or what is wrong with it.
+
+    Args:
+      text: A JSON object.
+      source: Where the text came from, for messages.
+    """
+    try:
+        document = json.loads(text)
+    except ValueError as error:
+        return SettingsErrors(source, (f"is not JSON: {error}",))
+    if not isinstance(document, dict):
+        return SettingsErrors(source, ("is not a JSON object",))
+    return _check(document, source)
+
+
+def _check(document: dict[str, Any], source: str) -> Settings | SettingsErrors:
+    fields = {field.name: field for field in setting_fields()}
+    types = typing.get_type_hints(Settings)
+    errors = [f"{name}: unknown key" for name in document if name not in fields]
+    values: dict[str, Any] = {}
+    for name, field in fields.items():
+        if name not in document:
+            if field.default is attrs.NOTHING:
+                errors.append(f"{name}: missing; {field.metadata['help']}")
+            continue
+        try:
+            values[name] = _convert(document[name], types[name])
+            _check_bounds(values[name], field)
+        except _WrongValue as error:
+            errors.append(f"{name}: {error}")
+    if errors:
+        return SettingsErrors(source, tuple(errors))
+    return Settings(**values)
+
+
+def _convert(value: Any, wanted: Any) -> Any:
+    if typing.get_origin(wanted) is tuple:
+        return _convert_list(value, typing.get_args(wanted)[0])
+    if wanted is CallerLogin:
+        return _convert_login(value)
+    if wanted is float and isinstance(value, int | float):
+        if isinstance(value, bool):
+            raise _WrongValue("is true or false, not a number")
+        return float(value)
+    if isinstance(value, bool) or not isinstance(value, wanted):
+        names = {str: "a string", int: "a whole number", float: "a number"}
+        raise _WrongValue(f"is not {names.get(wanted, wanted)}")
+    return value
+
+
+def _convert_list(value: Any, wanted: Any) -> tuple[Any, ...]:
+    if not isinstance(value, list):
+        raise _WrongValue("is not a list")
+    return tuple(_convert(item, wanted) for item in value)
+
+
+def _convert_login(value: Any) -> CallerLogin:
+    if not isinstance(value, dict) or set(value) != {"user", "password"}:
+        raise _WrongValue("has an entry without just user and password")
+    if not all(isinstance(item, str) for item in value.values()):
+        raise _WrongValue("has a user or password that is not a string")
+    return CallerLogin(**value)
+
+
+def _check_bounds(value: Any, field: "attrs.Attribute[Any]") -> None:
+    rules = field.metadata
+    if rules["not_empty"] and not value:
+        raise _WrongValue("is empty")
+    if rules["choices"] and value not in rules["choices"]:
+        allowed = ", ".join(rules["choices"])
+        raise _WrongValue(f"is {value!r}, not one of {allowed}")
+    if rules["minimum"] is not None and value < rules["minimum"]:
+        raise _WrongValue(f"is {value}, below {rules['minimum']}")
+    if rules["maximum"] is not None and value > rules["maximum"]:
+        raise _WrongValue(f"is {value}, above {rules['maximum']}")
