Add pooled connections and control of backend servers

Each connection serves one transaction at a time, is reset before reuse where session state may be left, and is closed after any doubtful answer.

--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/answer.py
@@ -0,0 +1,95 @@
+"""What came back for one statement on one connection."""
+
+import attrs
+
+from jackdawcrank_policy.values import Position
+
+Row = tuple[bytes | None, ...]
+
+
+@attrs.frozen
+class Column:
+    """One column of a result, as the server described it.
+
+    Attributes:
+      name: The column's name.
+      type_code: The MySQL column type.
+      charset: The MySQL collation number.
+      length: The column length in bytes.
+      flags: The MySQL column flags.
+      decimals: The number of shown digits after the point.
+      table: The table's name or alias, empty for an expression.
+      org_name: The name in the table.
+      org_table: The table's name.
+    """
+
+    name: str
+    type_code: int
+    charset: int = 255
+    length: int = 256
+    flags: int = 0
+    decimals: int = 0
+    table: str = ""
+    org_name: str = ""
+    org_table: str = ""
+
+
+@attrs.frozen
+class RowsAnswer:
+    """The statement returned rows.
+
+    Attributes:
+      columns: The columns.
+      rows: The values in the text protocol's form; None is NULL.
+    """
+
+    columns: tuple[Column, ...]
+    rows: tuple[Row, ...]
+
+
+@attrs.frozen
+class OkAnswer:
+    """The statement ran without rows.
+
+    Attributes:
+      affected_rows: The number of rows that it changed.
+      last_insert_id: The first generated key, or 0.
+      warnings: The number of warnings.
+      position: The log position of the commit, if this committed a write.
+    """
+
+    affected_rows: int = 0
+    last_insert_id: int = 0
+    warnings: int = 0
+    position: Position | None = None
+
+
+@attrs.frozen
+class ErrorAnswer:
+    """The server refused the statement or rolled it back.
+
+    Attributes:
+      code: The MySQL error code.
+      sqlstate: The SQLSTATE.
+      message: The server's message.
+    """
+
+    code: int
+    sqlstate: str
+    message: str
+
+
+@attrs.frozen
+class LostAnswer:
+    """The connection broke or stayed silent; the statement's fate is open.
+
+    Attributes:
+      sent: Whether any byte of the statement may have left this process.
+      detail: A sentence for people.
+    """
+
+    sent: bool
+    detail: str
+
+
+LinkAnswer = RowsAnswer | OkAnswer | ErrorAnswer | LostAnswer
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/mysql_control.py
@@ -0,0 +1,152 @@
+"""Backend server control over the MySQL protocol."""
+
+import asyncio
+
+from jackdawcrank.backend.answer import (
+    ErrorAnswer,
+    LinkAnswer,
+    OkAnswer,
+    RowsAnswer,
+)
+from jackdawcrank.backend.endpoint import Endpoint
+from jackdawcrank.backend.server_control import (
+    Accepted,
+    Refused,
+    Unreachable,
+)
+from jackdawcrank.backend.server_link import ConnectFailed, ServerLink
+from jackdawcrank_policy.values import Position, ServerReport, ServerRole
+
+PROBE_SQL = (
+    "SELECT @@group_term, @@group_role, @@log_position, @@group_caught_up"
+)
+CONFIRM_MARGIN_SECONDS = 0.2
+
+
+class MysqlControl:
+    """Probes, fences and announcements over connections of its own.
+
+    Attributes:
+      endpoint: The server.
+      name: The server's name.
+    """
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.name = endpoint.server
+        self.probe_link: ServerLink | None = None
+        self.order_link: ServerLink | None = None
+        self.confirm_links: list[ServerLink] = []
+        self.probe_lock = asyncio.Lock()
+        self.order_lock = asyncio.Lock()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        links = [self.probe_link, self.order_link, *self.confirm_links]
+        for link in links:
+            if link is not None:
+                link.close()
+        self.confirm_links.clear()
+
+    async def probe(self, timeout_seconds: float) -> ServerReport | Unreachable:
+        """Ask for term, role and position.
+
+        Args:
+          timeout_seconds: The longest that this may take.
+        """
+        async with self.probe_lock:
+            link = await self._live(self.probe_link, timeout_seconds)
+            if isinstance(link, Unreachable):
+                return link
+            self.probe_link = link
+            answer = await link.run(PROBE_SQL, timeout_seconds)
+        return self._read_report(answer)
+
+    async def fence(
+        self, term: int, timeout_seconds: float
+    ) -> Accepted | Refused | Unreachable:
+        """Raise the server's fence to a term.
+
+        Args:
+          term: The new term.
+          timeout_seconds: The longest that this may take.
+        """
+        sql = f"SET GLOBAL group_term = {term:d}"
+        return await self._order(sql, timeout_seconds)
+
+    async def announce_primary(
+        self, term: int, offset: int, primary: str, timeout_seconds: float
+    ) -> Accepted | Refused | Unreachable:
+        """Tell the server who leads a term and where the term began.
+
+        Args:
+          term: The term.
+          offset: The offset of the last entry kept from earlier terms.
+          primary: The primary's server name.
+          timeout_seconds: The longest that this may take.
+        """
+        sql = f"SET GLOBAL group_primary = '{term:d}:{offset:d}:{primary}'"
+        return await self._order(sql, timeout_seconds)
+
+    async def confirm(
+        self, position: Position, timeout_seconds: float
+    ) -> int | None:
+        """Return the server's term once it holds a position, else None.
+
+        Args:
+          position: The position to wait for.
+          timeout_seconds: The longest that this may take.
+        """
+        spare = self.confirm_links.pop() if self.confirm_links else None
+        link = await self._live(spare, timeout_seconds)
+        if isinstance(link, Unreachable):
+            return None
+        sql = f"SELECT WAIT_FOR_LOG_POSITION('{position}', {timeout_seconds})"
+        limit = timeout_seconds + CONFIRM_MARGIN_SECONDS
+        answer = await link.run(sql, limit)
+        if link.usable:
+            self.confirm_links.append(link)
+        if not isinstance(answer, RowsAnswer) or not answer.rows:
+            return None
+        term = answer.rows[0][0]
+        return None if term is None else int(term)
+
+    async def _order(
+        self, sql: str, timeout_seconds: float
+    ) -> Accepted | Refused | Unreachable:
+        async with self.order_lock:
+            link = await self._live(self.order_link, timeout_seconds)
+            if isinstance(link, Unreachable):
+                return link
+            self.order_link = link
+            answer = await link.run(sql, timeout_seconds)
+        if isinstance(answer, OkAnswer):
+            return Accepted()
+        if isinstance(answer, ErrorAnswer):
+            return Refused(answer.code, answer.message)
+        return Unreachable(str(answer))
+
+    async def _live(
+        self, link: ServerLink | None, timeout_seconds: float
+    ) -> ServerLink | Unreachable:
+        if link is not None and link.usable:
+            return link
+        opened = await ServerLink.open(self.endpoint, timeout_seconds)
+        if isinstance(opened, ConnectFailed):
+            return Unreachable(opened.detail)
+        return opened
+
+    def _read_report(self, answer: LinkAnswer) -> ServerReport | Unreachable:
+        if not isinstance(answer, RowsAnswer) or not answer.rows:
+            return Unreachable(str(answer))
+        texts = [(value or b"").decode() for value in answer.rows[0]]
+        try:
+            return ServerReport(
+                server=self.name,
+                term=int(texts[0]),
+                role=ServerRole(texts[1]),
+                position=Position.parse(texts[2]),
+                caught_up=texts[3] == "1",
+            )
+        except (ValueError, IndexError) as error:
+            return Unreachable(f"not a report: {error}")
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_control.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_control.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 import attrs
+
 from jackdawcrank_policy.values import Position, ServerReport
 
 
@@ -43,9 +44,7 @@
 
     name: str
 
-    async def probe(
-        self, timeout_seconds: float
-    ) -> ServerReport | Unreachable:
+    async def probe(self, timeout_seconds: float) -> ServerReport | Unreachable:
         """Ask for term, role and position."""
 
     async def fence(
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_link.py
@@ -0,0 +1,210 @@
+"""One MySQL connection to a backend server."""
+
+import asyncio
+import re
+import time
+from typing import Any
+
+import asyncmy
+import attrs
+from asyncmy import errors as asyncmy_errors
+
+from jackdawcrank.backend.answer import (
+    Column,
+    ErrorAnswer,
+    LinkAnswer,
+    LostAnswer,
+    OkAnswer,
+    RowsAnswer,
+)
+from jackdawcrank.backend.endpoint import Endpoint
+from jackdawcrank_policy.values import Position
+
+COM_RESET_CONNECTION = 0x1F
+ERROR_TOO_MANY_CONNECTIONS = 1040
+FIRST_CLIENT_ERROR = 2000
+LAST_CLIENT_ERROR = 2999
+_POSITION = re.compile(rb"position=(\d+):(\d+)")
+
+
+@attrs.frozen
+class ConnectFailed:
+    """No connection could be opened.
+
+    Attributes:
+      full: Whether the server refused for its connection limit.
+      detail: A sentence for people.
+    """
+
+    full: bool
+    detail: str
+
+
+class ServerLink:
+    """One logged-in connection, used by one statement at a time.
+
+    Attributes:
+      server: The server's name.
+      usable: Whether the connection may run another statement.
+      last_answer_at: When the server last answered, on the monotonic clock.
+      dirty: Whether session state may be left that a reset must clear.
+    """
+
+    def __init__(self, server: str, connection: Any) -> None:
+        self.server = server
+        self.connection = connection
+        self.usable = True
+        self.dirty = False
+        self.last_answer_at = time.monotonic()
+
+    @classmethod
+    async def open(
+        cls, endpoint: Endpoint, timeout_seconds: float
+    ) -> "ServerLink | ConnectFailed":
+        """Open a connection and log in.
+
+        Args:
+          endpoint: The server.
+          timeout_seconds: The longest that this may take.
+        """
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                connection = await asyncmy.connect(
+                    host=endpoint.host,
+                    port=endpoint.port,
+                    user=endpoint.user,
+                    password=endpoint.password,
+                    database=endpoint.database,
+                    charset="utf8mb4",
+                    autocommit=None,
+                    conv={},
+                    use_unicode=False,
+                )
+        except TimeoutError:
+            return ConnectFailed(False, "no answer to the login in time")
+        except (asyncmy_errors.MySQLError, OSError, EOFError) as error:
+            return ConnectFailed(_error_code(error) == 1040, str(error))
+        return cls(endpoint.server, connection)
+
+    async def run(self, sql: str, timeout_seconds: float) -> LinkAnswer:
+        """Run one statement and read its whole answer.
+
+        A connection that gives no complete answer in time is closed for good.
+
+        Args:
+          sql: The statement.
+          timeout_seconds: The longest that this may take.
+        """
+        if not self.usable:
+            return LostAnswer(False, "the connection is closed")
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self.connection.query(sql)
+        except TimeoutError:
+            return self._lost("no answer in time")
+        except asyncmy_errors.MySQLError as error:
+            return self._server_error(error)
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        except (OSError, EOFError, RuntimeError, ValueError) as error:
+            return self._lost(str(error) or type(error).__name__)
+        self.last_answer_at = time.monotonic()
+        return _read_result(self.connection._result)
+
+    async def reset(self, timeout_seconds: float) -> bool:
+        """Clear session state and roll back; return whether it worked.
+
+        Args:
+          timeout_seconds: The longest that this may take.
+        """
+        if not self.usable:
+            return False
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self.connection._execute_command(COM_RESET_CONNECTION, "")
+                await self.connection._read_ok_packet()
+        except (TimeoutError, asyncmy_errors.MySQLError, OSError, EOFError):
+            self.close()
+            return False
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        self.last_answer_at = time.monotonic()
+        self.dirty = False
+        return True
+
+    async def ping(self, timeout_seconds: float) -> bool:
+        """Return whether the server still answers on this connection.
+
+        Args:
+          timeout_seconds: The longest that this may take.
+        """
+        if not self.usable:
+            return False
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self.connection.ping(reconnect=False)
+        except (TimeoutError, asyncmy_errors.MySQLError, OSError, EOFError):
+            self.close()
+            return False
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        self.last_answer_at = time.monotonic()
+        return True
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.usable = False
+        self.connection.close()
+
+    def _lost(self, detail: str) -> LostAnswer:
+        self.close()
+        return LostAnswer(True, detail)
+
+    def _server_error(self, error: Exception) -> LinkAnswer:
+        code = _error_code(error)
+        if code == 0 or FIRST_CLIENT_ERROR <= code <= LAST_CLIENT_ERROR:
+            return self._lost(str(error))
+        self.last_answer_at = time.monotonic()
+        sqlstate = getattr(error, "sqlstate", None) or "HY000"
+        return ErrorAnswer(code, sqlstate, str(error.args[-1]))
+
+
+def _error_code(error: BaseException) -> int:
+    code = error.args[0] if error.args else 0
+    return code if isinstance(code, int) else 0
+
+
+def _read_result(result: Any) -> LinkAnswer:
+    if result.fields:
+        columns = tuple(_read_column(field) for field in result.fields)
+        return RowsAnswer(columns, tuple(result.rows or ()))
+    return OkAnswer(
+        affected_rows=result.affected_rows or 0,
+        last_insert_id=result.insert_id or 0,
+        warnings=result.warning_count or 0,
+        position=_read_position(result.message),
+    )
+
+
+def _read_column(field: Any) -> Column:
+    return Column(
+        name=field.name,
+        type_code=field.type_code,
+        charset=field.charsetnr,
+        length=field.length,
+        flags=field.flags,
+        decimals=field.scale,
+        table=field.table_name,
+        org_name=field.org_name,
+        org_table=field.org_table,
+    )
+
+
+def _read_position(message: bytes | None) -> Position | None:
+    match = _POSITION.search(message) if message else None
+    if match is None:
+        return None
+    return Position(int(match[1]), int(match[2]))
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
@@ -0,0 +1,245 @@
+"""The connections of one proxy to one backend server."""
+
+import asyncio
+import collections
+import contextlib
+import time
+from collections.abc import Callable
+
+import attrs
+
+from jackdawcrank.backend.endpoint import Endpoint
+from jackdawcrank.backend.server_link import ConnectFailed, ServerLink
+
+CONNECT_TIMEOUT_SECONDS = 2.0
+RESET_TIMEOUT_SECONDS = 1.0
+PING_TIMEOUT_SECONDS = 0.5
+IDLE_CHECK_SECONDS = 1.0
+MAX_SILENCE_SECONDS = 2.0
+
+
+@attrs.frozen
+class PoolExhausted:
+    """No connection came free in time.
+
+    Attributes:
+      detail: A sentence for people.
+    """
+
+    detail: str
+
+
+class ServerPool:
+    """Connections to one backend server, within a limit.
+
+    A connection serves one transaction at a time. It is reset before reuse
+    where session state may be left, checked after another connection to the
+    same server was lost, and closed after any doubtful answer.
+
+    Attributes:
+      endpoint: The server.
+      limit: The most connections to hold; may be changed at any time.
+      warm: How many connections to keep open ahead of need.
+      in_use: The number of connections that run a transaction.
+      draining: Whether new acquisitions are refused.
+    """
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        limit: int,
+        warm: int,
+        on_drop: Callable[[str, str], None] = lambda server, why: None,
+    ) -> None:
+        self.endpoint = endpoint
+        self.limit = limit
+        self.warm = warm
+        self.on_drop = on_drop
+        self.in_use = 0
+        self.opening = 0
+        self.draining = False
+        self.suspect_since = 0.0
+        self.idle: list[ServerLink] = []
+        self.waiters: collections.deque[asyncio.Future[None]] = (
+            collections.deque()
+        )
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.keeper: asyncio.Task[None] | None = None
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of connections, opening ones included."""
+        return len(self.idle) + self.in_use + self.opening
+
+    def start(self) -> None:
+        """Start to keep connections warm and checked."""
+        self.keeper = asyncio.create_task(self._keep())
+
+    async def close(self) -> None:
+        """Close every idle connection and stop the background work."""
+        self.draining = True
+        if self.keeper is not None:
+            self.keeper.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.keeper
+        for task in tuple(self.tasks):
+            task.cancel()
+        self._close_idle()
+        self._wake_all()
+
+    async def acquire(
+        self, timeout_seconds: float
+    ) -> ServerLink | ConnectFailed | PoolExhausted:
+        """Return a connection that runs nothing.
+
+        Args:
+          timeout_seconds: The longest that this may take.
+        """
+        deadline = time.monotonic() + timeout_seconds
+        while not self.draining:
+            link = await self._take_idle()
+            if link is not None:
+                return link
+            if self.open_count < self.limit:
+                remaining = deadline - time.monotonic()
+                return await self._open(remaining)
+            if not await self._wait_for_release(deadline):
+                return PoolExhausted("every connection is in use")
+        return PoolExhausted("the server is leaving")
+
+    def release(self, link: ServerLink) -> None:
+        """Give a connection back.
+
+        Args:
+          link: A connection from `acquire`; a dirty one is reset first.
+        """
+        if link.usable and link.dirty and not self.draining:
+            task = asyncio.create_task(self._reset_and_release(link))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            return
+        self._finish_release(link)
+
+    def drain(self) -> None:
+        """Refuse new acquisitions and close idle connections."""
+        self.draining = True
+        self._close_idle()
+        self._wake_all()
+
+    async def _reset_and_release(self, link: ServerLink) -> None:
+        try:
+            await link.reset(RESET_TIMEOUT_SECONDS)
+        finally:
+            self._finish_release(link)
+
+    def _finish_release(self, link: ServerLink) -> None:
+        self.in_use -= 1
+        if not link.usable:
+            self._drop(link, "lost")
+        elif self.draining or self.open_count >= self.limit:
+            link.close()
+        else:
+            self.idle.append(link)
+        self._wake_one()
+
+    async def _take_idle(self) -> ServerLink | None:
+        while self.idle:
+            link = self.idle.pop()
+            self.in_use += 1
+            if not link.usable:
+                self.in_use -= 1
+                continue
+            if link.last_answer_at >= self.suspect_since:
+                return link
+            if await self._checked(link):
+                return link
+            self.in_use -= 1
+            self._drop(link, "silent")
+        return None
+
+    async def _checked(self, link: ServerLink) -> bool:
+        try:
+            return await link.ping(PING_TIMEOUT_SECONDS)
+        except asyncio.CancelledError:
+            self.in_use -= 1
+            self._wake_one()
+            raise
+
+    async def _open(
+        self, timeout_seconds: float
+    ) -> ServerLink | ConnectFailed | PoolExhausted:
+        if timeout_seconds <= 0:
+            return PoolExhausted("no time left to connect")
+        self.opening += 1
+        try:
+            link = await ServerLink.open(
+                self.endpoint, min(timeout_seconds, CONNECT_TIMEOUT_SECONDS)
+            )
+        finally:
+            self.opening -= 1
+        if isinstance(link, ConnectFailed):
+            self._wake_one()
+            return link
+        self.in_use += 1
+        return link
+
+    async def _wait_for_release(self, deadline: float) -> bool:
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.append(waiter)
+        try:
+            async with asyncio.timeout(deadline - time.monotonic()):
+                await waiter
+        except TimeoutError:
+            return False
+        except asyncio.CancelledError:
+            if waiter.done():
+                self._wake_one()
+            raise
+        finally:
+            with contextlib.suppress(ValueError):
+                self.waiters.remove(waiter)
+        return True
+
+    def _wake_one(self) -> None:
+        while self.waiters:
+            waiter = self.waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def _wake_all(self) -> None:
+        while self.waiters:
+            self._wake_one()
+
+    def _drop(self, link: ServerLink, why: str) -> None:
+        self.suspect_since = time.monotonic()
+        link.close()
+        self.on_drop(self.endpoint.server, why)
+
+    def _close_idle(self) -> None:
+        while self.idle:
+            self.idle.pop().close()
+
+    async def _keep(self) -> None:
+        while True:
+            await self._check_oldest_idle()
+            await self._add_warm()
+            await asyncio.sleep(IDLE_CHECK_SECONDS)
+
+    async def _check_oldest_idle(self) -> None:
+        stale_before = time.monotonic() - MAX_SILENCE_SECONDS
+        for link in tuple(self.idle):
+            if link not in self.idle or link.last_answer_at > stale_before:
+                continue
+            self.idle.remove(link)
+            self.in_use += 1
+            await self._checked(link)
+            self._finish_release(link)
+
+    async def _add_warm(self) -> None:
+        wanted = min(self.warm, self.limit)
+        while self.open_count < wanted and not self.draining:
+            link = await self._open(CONNECT_TIMEOUT_SECONDS)
+            if not isinstance(link, ServerLink):
+                return
+            self._finish_release(link)
