--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/configuration/configuration.py
@@ -0,0 +1,81 @@
+"""The configuration that is in force at one version."""
+
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import attrs
+
+from jackdawcrank_policy.configuration.change import Change
+from jackdawcrank_policy.configuration.entry import Entry
+from jackdawcrank_policy.configuration.kind import Kind
+from jackdawcrank_policy.values import (
+    CallerClassSpec,
+    GroupRow,
+    GroupSpec,
+    ServerSpec,
+)
+
+T = TypeVar("T")
+
+FIELDS = {
+    Kind.DATABASE_GROUP: "groups",
+    Kind.BACKEND_SERVER: "servers",
+    Kind.CALLER_CLASS: "caller_classes",
+    Kind.GROUP_ROW: "group_rows",
+}
+
+
+def replaced(rows: Mapping[Any, T], key: object, row: T | None) -> dict[Any, T]:
+    """Return a copy of rows in which one is replaced, or removed by None."""
+    copy = dict(rows)
+    if row is None:
+        copy.pop(key, None)
+    else:
+        copy[key] = row
+    return copy
+
+
+@attrs.frozen
+class Configuration:
+    """Everything that the change log says up to one version.
+
+    Attributes:
+      version: The version of the newest change that it holds.
+      groups: The declared database groups by name.
+      servers: The declared backend servers by name.
+      caller_classes: The declared classes of callers by name.
+      group_rows: The groups' terms, by the group's name.
+      entries: Every row as stored, by kind and name.
+    """
+
+    version: int = 0
+    groups: Mapping[str, GroupSpec] = attrs.field(factory=dict)
+    servers: Mapping[str, ServerSpec] = attrs.field(factory=dict)
+    caller_classes: Mapping[str, CallerClassSpec] = attrs.field(factory=dict)
+    group_rows: Mapping[str, GroupRow] = attrs.field(factory=dict)
+    entries: Mapping[tuple[str, str], Entry] = attrs.field(factory=dict)
+
+    def with_change(self, change: Change) -> "Configuration":
+        """Return the configuration after its next change."""
+        key = (change.kind, change.name)
+        update: dict[str, Any] = {
+            "version": change.version,
+            "entries": replaced(self.entries, key, entry_of(change)),
+        }
+        field = FIELDS.get(change.kind)  # type: ignore[call-overload]
+        if field is not None:
+            rows = getattr(self, field)
+            update[field] = replaced(rows, change.name, change.value)
+        return attrs.evolve(self, **update)
+
+    def servers_of(self, group: str) -> tuple[ServerSpec, ...]:
+        """Return a group's servers in the order of their names."""
+        members = (s for s in self.servers.values() if s.group == group)
+        return tuple(sorted(members, key=lambda server: server.name))
+
+
+def entry_of(change: Change) -> Entry | None:
+    """Return the entry that a change leaves behind; None if it deletes."""
+    if change.deleted:
+        return None
+    return Entry(change.document, change.version, change.actor, change.at)
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/configuration/state.py
@@ -0,0 +1,85 @@
+"""Applies changes strictly in order."""
+
+import collections
+import dataclasses
+
+import attrs
+
+from jackdawcrank_policy.configuration.change import Change
+from jackdawcrank_policy.configuration.configuration import Configuration
+
+RECENT_CHANGES = 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Applied:
+    """The change is in force now.
+
+    Attributes:
+      configuration: The configuration that holds it.
+    """
+
+    configuration: Configuration
+
+
+@dataclasses.dataclass(frozen=True)
+class Gap:
+    """Changes before this one are missing; nothing was applied.
+
+    Attributes:
+      missing_from: The version of the first missing change.
+    """
+
+    missing_from: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Old:
+    """The change, or a newer state, is already in force."""
+
+
+@attrs.define
+class ConfigurationState:
+    """The configuration in force, which only ever moves forward.
+
+    Attributes:
+      current: The configuration in force.
+      recent: The newest changes that were applied, oldest first, without
+        gaps up to the current version.
+    """
+
+    current: Configuration = attrs.field(factory=Configuration)
+    recent: collections.deque[Change] = attrs.field(
+        factory=lambda: collections.deque(maxlen=RECENT_CHANGES)
+    )
+
+    @property
+    def version(self) -> int:
+        """Return the version in force."""
+        return self.current.version
+
+    def apply(self, change: Change) -> Applied | Gap | Old:
+        """Apply a change if it is the next one."""
+        if change.version <= self.version:
+            return Old()
+        if change.version > self.version + 1:
+            return Gap(self.version + 1)
+        self.current = self.current.with_change(change)
+        self.recent.append(change)
+        return Applied(self.current)
+
+    def adopt(self, snapshot: Configuration) -> Applied | Old:
+        """Replace the configuration by a newer snapshot."""
+        if snapshot.version <= self.version:
+            return Old()
+        self.current = snapshot
+        self.recent.clear()
+        return Applied(snapshot)
+
+    def changes_after(self, version: int) -> tuple[Change, ...] | None:
+        """Return the changes above a version; None if some are forgotten."""
+        if version >= self.version:
+            return ()
+        if not self.recent or self.recent[0].version > version + 1:
+            return None
+        return tuple(c for c in self.recent if c.version > version)
