Add messages, codecs, framing and events between proxies

The other parts need the message types at once. A cattrs converter turns attrs classes into lists, msgpack carries them; unknown trailing fields are ignored and missing ones defaulted.

--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/codec/converter.py
@@ -0,0 +1,218 @@
+"""Conversion between messages and plain lists."""
+
+import base64
+import collections.abc
+import enum
+import types
+import typing
+
+import attrs
+import cattrs
+
+from jackdawcrank_wire.messages import (
+    ResultError,
+    ResultOk,
+    ResultRows,
+    Rows,
+    StatementResult,
+)
+
+RESULT_TYPES: dict[int, type[StatementResult]] = {
+    1: ResultRows,
+    2: ResultOk,
+    3: ResultError,
+}
+RESULT_NUMBERS = {cls: number for number, cls in RESULT_TYPES.items()}
+
+Unstructure = collections.abc.Callable[[typing.Any], typing.Any]
+Structure = collections.abc.Callable[[typing.Any, typing.Any], typing.Any]
+
+
+def build_converter(*, bytes_as_text: bool = False) -> cattrs.Converter:
+    """Return a converter between messages and lists of plain values.
+
+    An attrs class becomes the list of its fields' values in order. When
+    reading, fields beyond those that are known are ignored and missing ones
+    take their defaults, so that two versions understand each other as long as
+    new fields come last and have defaults.
+
+    Args:
+      bytes_as_text: Whether bytes become base64 text, for formats that have
+        no type for bytes.
+    """
+    converter = cattrs.Converter(detailed_validation=False)
+    register_scalars(converter)
+    if bytes_as_text:
+        register_base64(converter)
+    else:
+        register_rows(converter)
+    converter.register_structure_hook_factory(
+        attrs.has, lambda cls: make_structure(cls, converter)
+    )
+    converter.register_unstructure_hook_factory(
+        attrs.has, lambda cls: make_unstructure(cls, converter)
+    )
+    register_results(converter)
+    return converter
+
+
+def register_scalars(converter: cattrs.Converter) -> None:
+    """Accept scalars of exactly the declared type.
+
+    Args:
+      converter: The converter to change.
+    """
+    for scalar in (int, str, bytes, bool):
+        converter.register_structure_hook(scalar, structure_exact)
+    converter.register_structure_hook(float, structure_float)
+    converter.register_structure_hook(
+        enum.StrEnum, lambda value, cls: cls(value)
+    )
+
+
+def structure_exact(value: typing.Any, cls: type) -> typing.Any:
+    """Return a value that must be of exactly one type.
+
+    Args:
+      value: The value.
+      cls: Its type.
+
+    Raises:
+      TypeError: The value is of another type.
+    """
+    if type(value) is not cls:
+        raise TypeError(f"{type(value).__name__} in place of {cls.__name__}")
+    return value
+
+
+def structure_float(value: typing.Any, _: typing.Any) -> float:
+    """Return a number as a float.
+
+    Args:
+      value: The number.
+
+    Raises:
+      TypeError: The value is no number.
+    """
+    if type(value) not in (int, float):
+        raise TypeError(f"{type(value).__name__} in place of float")
+    return float(value)
+
+
+def register_base64(converter: cattrs.Converter) -> None:
+    """Write bytes as base64 text.
+
+    Args:
+      converter: The converter to change.
+    """
+    converter.register_unstructure_hook(
+        bytes, lambda value: base64.b64encode(value).decode()
+    )
+    converter.register_structure_hook(
+        bytes, lambda value, _: base64.b64decode(value, validate=True)
+    )
+
+
+def register_rows(converter: cattrs.Converter) -> None:
+    """Pass rows through without looking at each value's type hook.
+
+    Args:
+      converter: The converter to change.
+    """
+    converter.register_structure_hook_func(
+        lambda cls: cls == Rows, structure_rows
+    )
+    converter.register_unstructure_hook_func(
+        lambda cls: cls == Rows, lambda rows: rows
+    )
+
+
+def structure_rows(value: typing.Any, _: typing.Any) -> Rows:
+    """Return rows of bytes and None.
+
+    Args:
+      value: A list of lists.
+
+    Raises:
+      TypeError: A value is neither bytes nor None.
+    """
+    rows = tuple(tuple(row) for row in require_list(value))
+    for row in rows:
+        if not all(cell is None or type(cell) is bytes for cell in row):
+            raise TypeError("a row holds a value that is not bytes")
+    return rows
+
+
+def require_list(value: typing.Any) -> list[typing.Any]:
+    """Return a value that must be a list.
+
+    Args:
+      value: The value.
+
+    Raises:
+      TypeError: The value is no list.
+    """
+    if type(value) is not list:
+        raise TypeError(f"{type(value).__name__} in place of a list")
+    return value
+
+
+def make_structure(cls: type, converter: cattrs.Converter) -> Structure:
+    """Return a function that builds an attrs class from a list.
+
+    Args:
+      cls: The attrs class.
+      converter: The converter that knows the fields' types.
+    """
+    fields = attrs.fields(attrs.resolve_types(cls))
+    hooks = [
+        (converter.get_structure_hook(field.type), field.type)
+        for field in fields
+    ]
+
+    def structure(value: typing.Any, _: typing.Any) -> typing.Any:
+        pairs = zip(hooks, require_list(value), strict=False)
+        return cls(*[hook(item, kind) for (hook, kind), item in pairs])
+
+    return structure
+
+
+def make_unstructure(cls: type, converter: cattrs.Converter) -> Unstructure:
+    """Return a function that turns an attrs class into a list.
+
+    Args:
+      cls: The attrs class.
+      converter: The converter that knows the fields' types.
+    """
+    fields = attrs.fields(attrs.resolve_types(cls))
+    hooks = [
+        (field.name, converter.get_unstructure_hook(field.type))
+        for field in fields
+    ]
+
+    def unstructure(value: typing.Any) -> list[typing.Any]:
+        return [hook(getattr(value, name)) for name, hook in hooks]
+
+    return unstructure
+
+
+def register_results(converter: cattrs.Converter) -> None:
+    """Write each kind of statement result with its number before it.
+
+    Args:
+      converter: The converter to change.
+    """
+
+    def is_result(cls: typing.Any) -> bool:
+        return isinstance(cls, types.UnionType) and cls == StatementResult
+
+    def structure(value: typing.Any, _: typing.Any) -> StatementResult:
+        number, body = require_list(value)[:2]
+        return converter.structure(body, RESULT_TYPES[number])
+
+    def unstructure(result: StatementResult) -> list[typing.Any]:
+        number = RESULT_NUMBERS[type(result)]
+        return [number, converter.unstructure(result)]
+
+    converter.register_structure_hook_func(is_result, structure)
+    converter.register_unstructure_hook_func(is_result, unstructure)
--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/codec/msgpack_codec.py
@@ -0,0 +1,44 @@
+"""The codec that proxies use between each other."""
+
+import msgpack
+
+from jackdawcrank_wire.codec.converter import build_converter
+from jackdawcrank_wire.codec.envelope import pack_envelope, unpack_envelope
+from jackdawcrank_wire.codec.limits import MAX_FRAME_BYTES, MAX_LIST_LENGTH
+from jackdawcrank_wire.codec.malformed import Malformed
+from jackdawcrank_wire.messages import Message
+
+
+class MsgpackCodec:
+    """Encodes messages as msgpack arrays."""
+
+    def __init__(self) -> None:
+        self.converter = build_converter()
+
+    def encode(self, message: Message) -> bytes:
+        """Return a message as msgpack.
+
+        Args:
+          message: Any message.
+        """
+        envelope = pack_envelope(message, self.converter)
+        return msgpack.packb(envelope)  # type: ignore[no-any-return]
+
+    def decode(self, data: bytes) -> Message | Malformed:
+        """Return the message that msgpack bytes hold.
+
+        Args:
+          data: What a peer sent.
+        """
+        if len(data) > MAX_FRAME_BYTES:
+            return Malformed(f"{len(data)} bytes are more than a frame holds")
+        try:
+            envelope = msgpack.unpackb(
+                data,
+                max_array_len=MAX_LIST_LENGTH,
+                max_map_len=0,
+                max_ext_len=0,
+            )
+        except (ValueError, TypeError, RecursionError) as error:
+            return Malformed(f"not msgpack: {type(error).__name__}")
+        return unpack_envelope(envelope, self.converter)
--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/events/trace_events.py
@@ -0,0 +1,117 @@
+"""The time line in the form that browsers' trace viewers open."""
+
+import collections.abc
+import json
+import typing
+
+from jackdawcrank_wire.events.timeline_event import TimelineEvent
+
+MICROSECONDS_PER_SECOND = 1_000_000
+NO_GROUP_ROW = "proxy"
+PROMOTION_START = "promotion_started"
+PROMOTION_ENDS = ("promotion_finished", "promotion_abandoned")
+
+Entry = dict[str, typing.Any]
+
+
+def to_trace_events(events: collections.abc.Sequence[TimelineEvent]) -> str:
+    """Return events as a JSON object in the trace-event format.
+
+    Each VM is shown as a process and each database group on it as a thread.
+    Every event is an instant; a promotion is a span from its start to its
+    end.
+
+    Args:
+      events: The events, merged into one order.
+    """
+    rows = TraceRows()
+    entries: list[Entry] = []
+    for event in events:
+        entries.append(instant(event, rows))
+        entries.extend(span(event, rows))
+    return json.dumps({"traceEvents": rows.names() + entries})
+
+
+class TraceRows:
+    """Numbers of processes and threads in a trace."""
+
+    def __init__(self) -> None:
+        self.processes: dict[str, int] = {}
+        self.threads: dict[tuple[str, str], int] = {}
+
+    def place(self, event: TimelineEvent) -> Entry:
+        """Return the process and thread of an event.
+
+        Args:
+          event: The event.
+        """
+        pid = self.processes.setdefault(event.vm, len(self.processes) + 1)
+        row = (event.vm, event.group or NO_GROUP_ROW)
+        tid = self.threads.setdefault(row, len(self.threads) + 1)
+        return {"pid": pid, "tid": tid}
+
+    def names(self) -> list[Entry]:
+        """Return the entries that name processes and threads."""
+        processes: list[Entry] = [
+            {"ph": "M", "name": "process_name", "pid": pid, "args": {"name": v}}
+            for v, pid in self.processes.items()
+        ]
+        threads: list[Entry] = [
+            {
+                "ph": "M",
+                "name": "thread_name",
+                "pid": self.processes[vm],
+                "tid": tid,
+                "args": {"name": row},
+            }
+            for (vm, row), tid in self.threads.items()
+        ]
+        return processes + threads
+
+
+def instant(event: TimelineEvent, rows: TraceRows) -> Entry:
+    """Return an event as an instant of the trace.
+
+    Args:
+      event: The event.
+      rows: Where processes and threads are numbered.
+    """
+    return {
+        "name": str(event.kind),
+        "ph": "i",
+        "s": "t",
+        "ts": round(event.wall * MICROSECONDS_PER_SECOND),
+        **rows.place(event),
+        "args": {
+            "boot": event.boot,
+            "sequence": event.sequence,
+            "term": event.term,
+            "request_id": event.request_id,
+            **event.detail,
+        },
+    }
+
+
+def span(event: TimelineEvent, rows: TraceRows) -> list[Entry]:
+    """Return the entry that opens or closes a promotion's span, if any.
+
+    Args:
+      event: The event.
+      rows: Where processes and threads are numbered.
+    """
+    if event.kind == PROMOTION_START:
+        phase = "b"
+    elif event.kind in PROMOTION_ENDS:
+        phase = "e"
+    else:
+        return []
+    return [
+        {
+            "name": "promotion",
+            "cat": "promotion",
+            "ph": phase,
+            "id": f"{event.group}/{event.term}",
+            "ts": round(event.wall * MICROSECONDS_PER_SECOND),
+            **rows.place(event),
+        }
+    ]
--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/ping.py
@@ -0,0 +1,14 @@
+"""A liveness probe of a stream."""
+
+import attrs
+
+
+@attrs.frozen
+class Ping:
+    """Asks for a `Pong` at once.
+
+    Attributes:
+      number: Returned by the answer.
+    """
+
+    number: int
