Add resource types, the store client and the change log

Resources are declared once and structured by cattrs; a write to the change log settles a lost answer by repeating the same conditional transaction and looking for its token.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/configuration/configuration.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/configuration/configuration.py
@@ -56,14 +56,17 @@
     entries: Mapping[tuple[str, str], Entry] = attrs.field(factory=dict)
 
     def with_change(self, change: Change) -> "Configuration":
-        """Return the configuration after its next change."""
+        """Return the configuration after its next change.
+
+        A row that this release cannot read keeps its last readable value.
+        """
         key = (change.kind, change.name)
         update: dict[str, Any] = {
             "version": change.version,
             "entries": replaced(self.entries, key, entry_of(change)),
         }
         field = FIELDS.get(change.kind)  # type: ignore[call-overload]
-        if field is not None:
+        if field is not None and (change.deleted or change.value is not None):
             rows = getattr(self, field)
             update[field] = replaced(rows, change.name, change.value)
         return attrs.evolve(self, **update)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/__init__.py
@@ -0,0 +1,57 @@
+"""The platform's services and the change log kept in them."""
+
+from jackdawcrank.store.change_codec import decode_change, encode_change
+from jackdawcrank.store.change_log import (
+    Appended,
+    ChangeConflict,
+    ChangeLog,
+)
+from jackdawcrank.store.client import StoreClient
+from jackdawcrank.store.head import Head, read_head
+from jackdawcrank.store.limits import StoreLimits
+from jackdawcrank.store.outcome import (
+    Absent,
+    Committed,
+    Conflict,
+    ConflictingRow,
+    Deleted,
+    ObjectWritten,
+    Page,
+    PreconditionFailed,
+    Row,
+    StoredObject,
+    StoreUnavailable,
+)
+from jackdawcrank.store.transaction import (
+    RowCheck,
+    RowDelete,
+    RowPut,
+    Transaction,
+)
+
+__all__ = [
+    "Absent",
+    "Appended",
+    "ChangeConflict",
+    "ChangeLog",
+    "Committed",
+    "Conflict",
+    "ConflictingRow",
+    "Deleted",
+    "Head",
+    "ObjectWritten",
+    "Page",
+    "PreconditionFailed",
+    "Row",
+    "RowCheck",
+    "RowDelete",
+    "RowPut",
+    "StoreClient",
+    "StoreLimits",
+    "StoreUnavailable",
+    "StoredObject",
+    "Transaction",
+    "decode_change",
+    "encode_change",
+    "read_head",
+]
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/change_log.py
@@ -0,0 +1,315 @@
+"""Writes to the change log, the single order of all changes."""
+
+import asyncio
+import dataclasses
+import random
+import time
+import uuid
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import attrs
+
+from jackdawcrank.store.change_codec import change_key, encode_change
+from jackdawcrank.store.change_reader import read_change
+from jackdawcrank.store.client import StoreClient
+from jackdawcrank.store.head import HEAD, Head, read_head
+from jackdawcrank.store.outcome import (
+    Absent,
+    Committed,
+    Conflict,
+    Row,
+    StoreUnavailable,
+)
+from jackdawcrank.store.transaction import (
+    RowCheck,
+    RowDelete,
+    RowPut,
+    Transaction,
+)
+from jackdawcrank_policy.configuration import Change, Kind
+
+APPEND_SECONDS = 8.0
+RETRY_PAUSE_SECONDS = 0.05
+MAX_RETRY_PAUSE_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Appended:
+    """The change is committed.
+
+    Attributes:
+      version: Its version.
+      change: The change.
+    """
+
+    version: int
+    change: Change
+
+
+@dataclasses.dataclass(frozen=True)
+class ChangeConflict:
+    """The row is not as the writer expected; nothing was written.
+
+    Attributes:
+      current: The row's value; None if there is no row.
+      actor: Who wrote it; empty if that is no longer known.
+      version: The version of the change that wrote it; 0 for no row.
+      at: When it was written, in seconds since the epoch.
+    """
+
+    current: Mapping[str, Any] | None
+    actor: str
+    version: int
+    at: float = 0.0
+
+
+@attrs.frozen
+class Write:
+    """A change that is about to be made.
+
+    Attributes:
+      kind: The kind of row.
+      name: The row's name.
+      body: The row's new value; None deletes it.
+      actor: Who makes the change.
+      token: The token that tells this write from every other.
+    """
+
+    kind: str
+    name: str
+    body: Mapping[str, Any] | None
+    actor: str
+    token: str
+
+    @property
+    def table(self) -> str:
+        """Return the table that holds the row."""
+        return "groups" if self.kind == Kind.GROUP_ROW else "resources"
+
+    @property
+    def key(self) -> str:
+        """Return the row's key."""
+        if self.kind == Kind.GROUP_ROW:
+            return self.name
+        return f"{self.kind}/{self.name}"
+
+
+AppendOutcome = Appended | ChangeConflict | StoreUnavailable
+Expectation = Callable[[Row | None], bool]
+
+
+def at_version(version: int | None) -> Expectation:
+    """Return the expectation that a resource is at a version.
+
+    Args:
+      version: The resource version; 0 for no row, None for any.
+    """
+
+    def holds(row: Row | None) -> bool:
+        return version is None or resource_version(row) == version
+
+    return holds
+
+
+def resource_version(row: Row | None) -> int:
+    """Return the version of the change that wrote a resource's row."""
+    if row is None:
+        return 0
+    return int(row.value.get("resource_version", 0))
+
+
+@attrs.define
+class ChangeLog:
+    """Appends changes, each at most once.
+
+    A lost answer is settled by sending the very same transaction again,
+    which its check of the head lets through once at most, and by looking
+    for the write's own token in the change log.
+
+    Attributes:
+      store: The store.
+      clock: Monotonic seconds.
+      wall_clock: Seconds since the epoch.
+      rng: The source of jitter.
+      append_seconds: How long one append may take.
+      new_token: Makes the token of a write.
+    """
+
+    store: StoreClient
+    clock: Callable[[], float] = time.monotonic
+    wall_clock: Callable[[], float] = time.time
+    rng: random.Random = attrs.field(factory=random.Random)
+    append_seconds: float = APPEND_SECONDS
+    new_token: Callable[[], str] = lambda: uuid.uuid4().hex
+
+    async def append(
+        self,
+        kind: str,
+        name: str,
+        body: Mapping[str, Any] | None,
+        expected: int | None,
+        actor: str,
+    ) -> AppendOutcome:
+        """Change a resource.
+
+        Args:
+          kind: The resource's kind.
+          name: Its name.
+          body: The new row without its version; None deletes it.
+          expected: The resource version that it must have; 0 if it must not
+            exist, None for any.
+          actor: Who makes the change.
+        """
+        write = Write(kind, name, body, actor, self.new_token())
+        return await self.run(write, at_version(expected))
+
+    async def append_group_row(
+        self,
+        name: str,
+        body: Mapping[str, Any],
+        expected: Expectation,
+        actor: str,
+    ) -> AppendOutcome:
+        """Change a group's row if it is as expected."""
+        token = self.new_token()
+        body = {**body, "token": token}
+        write = Write(Kind.GROUP_ROW, name, body, actor, token)
+        return await self.run(write, expected)
+
+    async def run(self, write: Write, expected: Expectation) -> AppendOutcome:
+        """Append a write, trying again until its time has run out."""
+        deadline = self.clock() + self.append_seconds
+        outcome: AppendOutcome | None = None
+        attempt = 0
+        while outcome is None:
+            outcome = await self.attempt(write, expected, deadline)
+            if outcome is None and not await self.paused(attempt, deadline):
+                detail = "other changes kept coming first"
+                outcome = StoreUnavailable(False, detail)
+            attempt += 1
+        return outcome
+
+    async def attempt(
+        self, write: Write, expected: Expectation, deadline: float
+    ) -> AppendOutcome | None:
+        """Append a write at the present head; None if the head moved on."""
+        head = await read_head(self.store)
+        if isinstance(head, StoreUnavailable):
+            return head
+        row = await self.store.get(write.table, write.key)
+        if isinstance(row, StoreUnavailable):
+            return row
+        present = row if isinstance(row, Row) else None
+        if not expected(present):
+            return await self.conflict(present, write)
+        change = self.change(write, head.version + 1)
+        transaction = transaction_for(write, change, head, present)
+        return await self.settle(transaction, change, deadline)
+
+    def change(self, write: Write, version: int) -> Change:
+        """Return the change that a write makes at a version."""
+        body = write.body
+        if body is not None and write.kind != Kind.GROUP_ROW:
+            body = {**body, "resource_version": version}
+        return Change(
+            version=version,
+            kind=write.kind,
+            name=write.name,
+            deleted=body is None,
+            document=body or {},
+            token=write.token,
+            actor=write.actor,
+            at=self.wall_clock(),
+        )
+
+    async def settle(
+        self, transaction: Transaction, change: Change, deadline: float
+    ) -> AppendOutcome | None:
+        """Send a transaction until its fate is known.
+
+        Returns:
+          None if another change came first.
+        """
+        attempt = 0
+        while True:
+            outcome = await self.store.transact(transaction)
+            if isinstance(outcome, Committed):
+                return Appended(change.version, change)
+            if isinstance(outcome, Conflict):
+                return await self.judge(change, deadline)
+            unsent = attempt == 0 and not outcome.maybe_applied
+            if unsent or not await self.paused(attempt, deadline):
+                maybe = attempt > 0 or outcome.maybe_applied
+                return StoreUnavailable(maybe, outcome.detail)
+            attempt += 1
+
+    async def judge(
+        self, change: Change, deadline: float
+    ) -> AppendOutcome | None:
+        """Return whether a change whose check failed had been made before.
+
+        Returns:
+          None if the place in the order was taken by somebody else.
+        """
+        attempt = 0
+        while True:
+            found = await read_change(self.store, change.version)
+            if isinstance(found, Change):
+                same = found.token == change.token
+                return Appended(change.version, change) if same else None
+            if isinstance(found, Absent):
+                return await self.judge_absent(change)
+            if not await self.paused(attempt, deadline):
+                return StoreUnavailable(True, found.detail)
+            attempt += 1
+
+    async def judge_absent(self, change: Change) -> StoreUnavailable | None:
+        """Tell a change that was never made from one that was collected."""
+        head = await read_head(self.store)
+        if isinstance(head, Head) and head.version < change.version:
+            return None
+        return StoreUnavailable(True, "the change log was shortened")
+
+    async def conflict(
+        self, present: Row | None, write: Write
+    ) -> ChangeConflict:
+        """Return who wrote the row that was not as expected."""
+        version = resource_version(present)
+        value = present.value if present is not None else None
+        found = await read_change(self.store, version) if version else None
+        if isinstance(found, Change):
+            return ChangeConflict(value, found.actor, version, found.at)
+        return ChangeConflict(value, "", version)
+
+    async def paused(self, attempt: int, deadline: float) -> bool:
+        """Wait before another attempt; return whether time is left for it."""
+        ceiling = RETRY_PAUSE_SECONDS * 2 ** min(attempt, 10)
+        ceiling = min(ceiling, MAX_RETRY_PAUSE_SECONDS)
+        pause = self.rng.uniform(0, ceiling)
+        if self.clock() + pause >= deadline:
+            return False
+        await asyncio.sleep(pause)
+        return True
+
+
+def transaction_for(
+    write: Write, change: Change, head: Head, present: Row | None
+) -> Transaction:
+    """Return the transaction that makes a change."""
+    moved = attrs.evolve(head, version=change.version)
+    puts = [
+        RowPut(HEAD, HEAD, moved.value()),
+        RowPut("changes", change_key(change.version), encode_change(change)),
+    ]
+    deletes: tuple[RowDelete, ...] = ()
+    if change.deleted:
+        deletes = (RowDelete(write.table, write.key),)
+    else:
+        puts.append(RowPut(write.table, write.key, dict(change.document)))
+    row_version = present.version if present is not None else None
+    checks = (
+        RowCheck(HEAD, HEAD, head.row_version),
+        RowCheck(write.table, write.key, row_version),
+    )
+    return Transaction(checks, tuple(puts), deletes)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/client.py
@@ -0,0 +1,297 @@
+"""The platform's table service, object store and VM list."""
+
+import json
+import random
+import time
+from collections.abc import Callable
+from typing import Any, TypeVar
+from urllib.parse import quote, urlencode
+
+import attrs
+
+from jackdawcrank.store.answer import Answer
+from jackdawcrank.store.channel import Channel, Request
+from jackdawcrank.store.limits import StoreLimits
+from jackdawcrank.store.outcome import (
+    Absent,
+    Committed,
+    Conflict,
+    ConflictingRow,
+    Deleted,
+    ObjectWritten,
+    Page,
+    PreconditionFailed,
+    Row,
+    StoredObject,
+    StoreUnavailable,
+)
+from jackdawcrank.store.traffic import Traffic
+from jackdawcrank.store.transaction import Transaction
+from jackdawcrank_policy.values import Vm, VmState
+
+T = TypeVar("T")
+
+OK = 200
+CREATED = 201
+NO_CONTENT = 204
+NOT_MODIFIED = 304
+NOT_FOUND = 404
+CONFLICT = 409
+PRECONDITION_FAILED = 412
+WRITTEN = (OK, CREATED, NO_CONTENT)
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class StoreClient:
+    """Asks the platform's services over HTTP; a failure is a value.
+
+    Attributes:
+      channel: Sends the requests within their bounds.
+      limits: The bounds.
+      vms: The last VM list with its entity tag.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+        limits: StoreLimits | None = None,
+    ) -> None:
+        """Make a client; `start` opens it.
+
+        Args:
+          url: The platform's base URL.
+          clock: Monotonic seconds.
+          rng: The source of jitter.
+          limits: The bounds on requests.
+        """
+        self.limits = limits or StoreLimits()
+        rng = rng or random.Random()
+        self.channel = Channel(url.rstrip("/"), clock, rng, self.limits)
+        self.vms: tuple[str, tuple[Vm, ...]] = ("", ())
+
+    @property
+    def traffic(self) -> Traffic:
+        """Return the counts of what was sent and received."""
+        return self.channel.traffic
+
+    async def start(self) -> None:
+        """Open the client."""
+        await self.channel.start()
+
+    async def close(self) -> None:
+        """Close the client and its connections."""
+        await self.channel.close()
+
+    async def get(
+        self, table: str, key: str
+    ) -> Row | Absent | StoreUnavailable:
+        """Read a row."""
+        path = f"/tables/{quote(table, safe='')}/{quote(key, safe='/')}"
+        answer = await self.read(path)
+        if isinstance(answer, StoreUnavailable):
+            return answer
+        if answer.status == NOT_FOUND:
+            return Absent()
+        return decoded(answer, lambda body: row(key, body))
+
+    async def scan(
+        self, table: str, after: str = "", limit: int = 200
+    ) -> Page | StoreUnavailable:
+        """Read the rows whose keys are greater than a key.
+
+        Args:
+          table: The table's name.
+          after: The key before the first one wanted.
+          limit: The most rows to return.
+        """
+        query = urlencode({"after": after, "limit": limit})
+        answer = await self.read(f"/tables/{quote(table, safe='')}?{query}")
+        if isinstance(answer, StoreUnavailable):
+            return answer
+        return decoded(answer, page)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Committed | Conflict | StoreUnavailable:
+        """Write several rows together, if every check holds."""
+        body = json.dumps(attrs.asdict(transaction)).encode()
+        request = Request(
+            "POST",
+            "/transactions",
+            self.limits.write_seconds,
+            body,
+            JSON_HEADERS,
+        )
+        answer = await self.channel.send(request)
+        if isinstance(answer, StoreUnavailable):
+            return answer
+        if answer.status == CONFLICT:
+            return decoded(answer, conflict, maybe_applied=False)
+        return decoded(answer, committed, maybe_applied=True)
+
+    async def get_object(
+        self, name: str
+    ) -> StoredObject | Absent | StoreUnavailable:
+        """Read an object."""
+        answer = await self.object_request("GET", name)
+        if isinstance(answer, StoreUnavailable):
+            return answer
+        if answer.status == NOT_FOUND:
+            return Absent()
+        if answer.status != OK:
+            return unexpected(answer)
+        return StoredObject(answer.body, answer.etag)
+
+    async def put_object(
+        self,
+        name: str,
+        data: bytes,
+        if_match: str | None = None,
+        only_new: bool = False,
+    ) -> ObjectWritten | PreconditionFailed | StoreUnavailable:
+        """Write an object.
+
+        Args:
+          name: The object's name.
+          data: Its bytes.
+          if_match: The entity tag that the object must have.
+          only_new: Whether the object must not exist yet.
+        """
+        headers = {"If-Match": if_match} if if_match is not None else {}
+        if only_new:
+            headers["If-None-Match"] = "*"
+        answer = await self.object_request("PUT", name, data, headers)
+        if isinstance(answer, StoreUnavailable):
+            return answer
+        if answer.status == PRECONDITION_FAILED:
+            return PreconditionFailed()
+        if answer.status not in WRITTEN:
+            return unexpected(answer, maybe_applied=True)
+        return ObjectWritten(answer.etag)
+
+    async def delete_object(self, name: str) -> Deleted | StoreUnavailable:
+        """Remove an object; one that is not there counts as removed."""
+        answer = await self.object_request("DELETE", name)
+        if isinstance(answer, StoreUnavailable):
+            return answer
+        if answer.status not in (*WRITTEN, NOT_FOUND):
+            return unexpected(answer, maybe_applied=True)
+        return Deleted()
+
+    async def list_objects(
+        self, prefix: str
+    ) -> tuple[str, ...] | StoreUnavailable:
+        """Return the names of the objects that begin with a prefix."""
+        answer = await self.read(f"/objects?{urlencode({'prefix': prefix})}")
+        if isinstance(answer, StoreUnavailable):
+            return answer
+        return decoded(answer, object_names)
+
+    async def list_vms(self) -> tuple[Vm, ...] | StoreUnavailable:
+        """Return the platform's list of VMs, which lags."""
+        etag, known = self.vms
+        headers = {"If-None-Match": etag} if etag else {}
+        answer = await self.read("/vms", headers)
+        if isinstance(answer, StoreUnavailable):
+            return answer
+        if answer.status == NOT_MODIFIED:
+            return known
+        vms = decoded(answer, vm_list)
+        if not isinstance(vms, StoreUnavailable):
+            self.vms = (answer.etag, vms)
+        return vms
+
+    async def read(
+        self, path: str, headers: dict[str, str] | None = None
+    ) -> Answer | StoreUnavailable:
+        """Send a read of a table or list."""
+        seconds = self.limits.read_seconds
+        request = Request("GET", path, seconds, headers=headers or {})
+        return await self.channel.send(request)
+
+    async def object_request(
+        self,
+        method: str,
+        name: str,
+        data: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> Answer | StoreUnavailable:
+        """Send a request about one object."""
+        path = f"/objects/{quote(name, safe='/')}"
+        seconds = self.limits.object_seconds
+        request = Request(method, path, seconds, data, headers or {})
+        return await self.channel.send(request)
+
+
+def decoded(
+    answer: Answer, decode: Callable[[Any], T], maybe_applied: bool = False
+) -> T | StoreUnavailable:
+    """Return what an answer's JSON means, or that it is of no use."""
+    if answer.status not in (OK, CONFLICT):
+        return unexpected(answer)
+    try:
+        return decode(answer.document())
+    except MALFORMED as error:
+        detail = f"malformed answer: {error!r}"
+        return StoreUnavailable(maybe_applied, detail)
+
+
+def unexpected(answer: Answer, maybe_applied: bool = False) -> StoreUnavailable:
+    """Return the outcome for a status that the contract does not name."""
+    detail = f"the store answered {answer.status}: {answer.body[:200]!r}"
+    return StoreUnavailable(maybe_applied, detail)
+
+
+def row(key: str, body: dict[str, Any]) -> Row:
+    """Return the row in the answer to a read of one row."""
+    return Row(key, body["value"], int(body["version"]))
+
+
+def page(body: dict[str, Any]) -> Page:
+    """Return the rows in the answer to a scan."""
+    rows = tuple(row(item["key"], item) for item in body["rows"])
+    return Page(rows, bool(body["more"]))
+
+
+def committed(body: dict[str, Any]) -> Committed:
+    """Return the outcome of a transaction that took effect."""
+    return Committed({k: int(v) for k, v in body["versions"].items()})
+
+
+def conflict(body: dict[str, Any]) -> Conflict:
+    """Return the outcome of a transaction whose checks failed."""
+    rows = (
+        ConflictingRow(
+            item["table"], item["key"], item.get("version"), item.get("value")
+        )
+        for item in body["conflicts"]
+    )
+    return Conflict(tuple(rows))
+
+
+def object_names(body: Any) -> tuple[str, ...]:
+    """Return the names in a list of objects."""
+    items = body["objects"] if isinstance(body, dict) else body
+    names = (i["name"] if isinstance(i, dict) else i for i in items)
+    return tuple(str(name) for name in names)
+
+
+def vm_list(body: dict[str, Any]) -> tuple[Vm, ...]:
+    """Return the VMs in the platform's list."""
+    return tuple(vm_from(item) for item in body["vms"])
+
+
+def vm_from(item: dict[str, Any]) -> Vm:
+    """Return a VM from its JSON form."""
+    return Vm(
+        name=str(item["name"]),
+        host=str(item["host"]),
+        peer_port=int(item["peer_port"]),
+        operator_port=int(item["operator_port"]),
+        region=str(item.get("region", "")),
+        data_center=str(item.get("data_center", "")),
+        state=VmState(item.get("state", "live")),
+    )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/limits.py
@@ -0,0 +1,29 @@
+"""How a proxy may use the store."""
+
+import attrs
+
+
+@attrs.frozen
+class StoreLimits:
+    """Bounds on the requests of one proxy.
+
+    Attributes:
+      read_seconds: How old the answer of a read may be when it is used, from
+        the instant before it was sent.
+      write_seconds: How long a write may take.
+      object_seconds: How long a transfer of an object may take.
+      per_second: Requests per second in the long run.
+      burst: Requests that may be sent at once.
+      concurrency: Requests that may be under way at once.
+      read_attempts: How often a read is sent within its time.
+      max_body_bytes: The largest answer that is read.
+    """
+
+    read_seconds: float = 1.0
+    write_seconds: float = 2.0
+    object_seconds: float = 10.0
+    per_second: float = 50.0
+    burst: float = 50.0
+    concurrency: int = 16
+    read_attempts: int = 2
+    max_body_bytes: int = 64 * 1024 * 1024
--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/parse.py
@@ -0,0 +1,82 @@
+"""Converts resources from and to their JSON form."""
+
+from typing import Any
+
+from jackdawcrank_policy.configuration import RESOURCE_KINDS, Kind
+from jackdawcrank_wire.resources.converter import plain
+from jackdawcrank_wire.resources.metadata import API_VERSION, Metadata
+from jackdawcrank_wire.resources.problem import Invalid, Problem
+from jackdawcrank_wire.resources.resource import SPEC_CLASSES, Resource
+from jackdawcrank_wire.resources.validate import structured
+
+KNOWN_KEYS = (
+    "apiVersion",
+    "kind",
+    "metadata",
+    "spec",
+    "status",
+    "resourceVersion",
+)
+
+
+def parse_resource(document: Any) -> Resource | Invalid:
+    """Return the resource that a JSON document declares.
+
+    Args:
+      document: The decoded JSON value. `status` is ignored.
+    """
+    if not isinstance(document, dict):
+        return Invalid((Problem("$", "must be an object", document),))
+    outer = outer_problems(document)
+    kind = known_kind(document.get("kind"))
+    if kind is None:
+        names = ", ".join(RESOURCE_KINDS)
+        message = f"must be one of {names}"
+        wrong = Problem("kind", message, document.get("kind"))
+        return Invalid((*outer, wrong))
+    metadata = structured(document.get("metadata", {}), Metadata, "metadata")
+    spec = structured(document.get("spec", {}), SPEC_CLASSES[kind], "spec")
+    parts = (p for p in (metadata, spec) if isinstance(p, Invalid))
+    inner = tuple(problem for part in parts for problem in part.problems)
+    if outer or isinstance(metadata, Invalid) or isinstance(spec, Invalid):
+        return Invalid((*outer, *inner))
+    version = document.get("resourceVersion")
+    return Resource(kind, metadata, spec, {}, version)
+
+
+def outer_problems(document: dict[str, Any]) -> tuple[Problem, ...]:
+    """Return what is wrong with a document's own keys."""
+    found = [
+        Problem(name, "is not a known key")
+        for name in document
+        if name not in KNOWN_KEYS
+    ]
+    api_version = document.get("apiVersion")
+    if api_version != API_VERSION:
+        message = f"must be {API_VERSION}"
+        found.append(Problem("apiVersion", message, api_version))
+    version = document.get("resourceVersion")
+    if version is not None and type(version) is not int:
+        message = "must be a whole number"
+        found.append(Problem("resourceVersion", message, version))
+    return tuple(found)
+
+
+def known_kind(name: Any) -> Kind | None:
+    """Return the resource kind of a name; None if there is none."""
+    return next((kind for kind in RESOURCE_KINDS if kind == name), None)
+
+
+def resource_document(resource: Resource) -> dict[str, Any]:
+    """Return a resource's JSON form."""
+    document: dict[str, Any] = {
+        "apiVersion": API_VERSION,
+        "kind": str(resource.kind),
+        "metadata": plain(resource.metadata),
+        "spec": plain(resource.spec),
+    }
+    if resource.status:
+        document["status"] = dict(resource.status)
+    if resource.resource_version is not None:
+        document["resourceVersion"] = resource.resource_version
+    return document
--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/stored.py
@@ -0,0 +1,45 @@
+"""Reads specs back from the store, also those of other releases."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import cattrs
+
+from jackdawcrank_policy.configuration import Kind
+from jackdawcrank_wire.resources.convert import PolicyValue, policy_value
+from jackdawcrank_wire.resources.converter import LENIENT
+from jackdawcrank_wire.resources.parse import known_kind
+from jackdawcrank_wire.resources.resource import SPEC_CLASSES, Spec
+
+
+def stored_spec(kind: Kind, spec: Any) -> Spec | None:
+    """Return a spec from the store; None if this release can't read it."""
+    try:
+        found: Spec = LENIENT.structure(spec, SPEC_CLASSES[kind])
+    except (cattrs.BaseValidationError, TypeError, AttributeError, ValueError):
+        return None
+    return found
+
+
+def stored_value(
+    kind: str, name: str, document: Mapping[str, Any]
+) -> PolicyValue | None:
+    """Return the policy's value of a stored resource.
+
+    Keys that this release does not know are passed over.
+
+    Args:
+      kind: The resource's kind.
+      name: Its name.
+      document: Its row, with the key `spec`.
+    """
+    known = known_kind(kind)
+    if known is None:
+        return None
+    spec = stored_spec(known, document.get("spec"))
+    if spec is None:
+        return None
+    try:
+        return policy_value(spec, name)
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/validate.py
@@ -0,0 +1,84 @@
+"""Checks a declared class against JSON, naming path and value."""
+
+import re
+from collections.abc import Iterator
+from typing import Any, TypeVar
+
+import attrs
+from cattrs.errors import (
+    AttributeValidationNote,
+    ClassValidationError,
+    ForbiddenExtraKeysError,
+)
+
+from jackdawcrank_wire.resources.converter import STRICT
+from jackdawcrank_wire.resources.declare import camel_case
+from jackdawcrank_wire.resources.problem import Invalid, Problem
+
+T = TypeVar("T")
+
+
+def structured(value: Any, declared: type[T], path: str) -> T | Invalid:
+    """Return an instance of a declared class, or what is wrong.
+
+    Args:
+      value: The JSON value.
+      declared: The class to build.
+      path: Where the value stands in its document.
+    """
+    if not isinstance(value, dict):
+        return Invalid((Problem(path, "must be an object", value),))
+    try:
+        instance = STRICT.structure(value, declared)
+    except ClassValidationError as error:
+        return Invalid(tuple(problems(error, value, path)))
+    outside = tuple(bound_problems(instance, path))
+    return Invalid(outside) if outside else instance
+
+
+def problems(
+    error: ClassValidationError, value: dict[str, Any], path: str
+) -> Iterator[Problem]:
+    """Yield a problem for each error that cattrs collected."""
+    for inner in error.exceptions:
+        if isinstance(inner, ForbiddenExtraKeysError):
+            for name in sorted(inner.extra_fields):
+                yield Problem(f"{path}.{name}", "is not a known key")
+            continue
+        name = camel_case(attribute_of(inner))
+        if name not in value:
+            yield Problem(f"{path}.{name}", "is required")
+        else:
+            yield Problem(f"{path}.{name}", str(inner), value[name])
+
+
+def attribute_of(error: BaseException) -> str:
+    """Return the attribute that an error of cattrs is about."""
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, AttributeValidationNote):
+            return note.name
+    return "?"
+
+
+def bound_problems(instance: Any, path: str) -> Iterator[Problem]:
+    """Yield a problem for each value outside its declared bounds."""
+    for field in attrs.fields(type(instance)):
+        value = getattr(instance, field.name)
+        message = bound_message(value, field.metadata)
+        if message:
+            yield Problem(f"{path}.{camel_case(field.name)}", message, value)
+
+
+def bound_message(value: Any, rules: Any) -> str:
+    """Return which bound a value breaks; empty if none."""
+    if value is None:
+        return ""
+    if rules["minimum"] is not None and value < rules["minimum"]:
+        return f"must be at least {rules['minimum']}"
+    if rules["maximum"] is not None and value > rules["maximum"]:
+        return f"must be at most {rules['maximum']}"
+    if rules["choices"] and value not in rules["choices"]:
+        return "must be one of " + ", ".join(rules["choices"])
+    if rules["pattern"] and not re.fullmatch(rules["pattern"], value):
+        return f"must match {rules['pattern']}"
+    return ""
