--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/timeline/burst_counter.py
@@ -0,0 +1,36 @@
+"""Aggregation of refusals into few events."""
+
+import collections
+
+from jackdawcrank.timeline.timeline import Timeline
+from jackdawcrank_wire.events import EventKind
+
+
+class BurstCounter:
+    """Counts what would flood the time line and records one event for many.
+
+    `flush` is to be called at regular intervals.
+    """
+
+    def __init__(
+        self, timeline: Timeline, kind: EventKind = EventKind.REFUSALS
+    ) -> None:
+        self.timeline = timeline
+        self.kind = kind
+        self.counts: collections.Counter[tuple[str, str]]
+        self.counts = collections.Counter()
+
+    def add(self, group: str, reason: str) -> None:
+        """Count one refusal.
+
+        Args:
+          group: The database group.
+          reason: Why it was refused.
+        """
+        self.counts[group, reason] += 1
+
+    def flush(self) -> None:
+        """Record one event for each group and reason since the last call."""
+        counts, self.counts = self.counts, collections.Counter()
+        for (group, reason), count in sorted(counts.items()):
+            self.timeline.record(self.kind, group, reason=reason, count=count)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/timeline/timeline.py
@@ -0,0 +1,119 @@
+"""The events of one process."""
+
+import asyncio
+import collections
+import collections.abc
+import itertools
+import time
+
+from jackdawcrank.timeline.follower import Follower
+from jackdawcrank_wire.events import EventKind, TimelineEvent
+
+DEFAULT_CAPACITY = 10_000
+MAX_DETAIL_CHARACTERS = 400
+
+Clock = collections.abc.Callable[[], float]
+Listener = collections.abc.Callable[[TimelineEvent], None]
+
+
+class Timeline:
+    """Keeps the newest events of a process in bounded memory."""
+
+    def __init__(
+        self,
+        vm: str,
+        boot: str,
+        capacity: int = DEFAULT_CAPACITY,
+        clock: Clock | None = None,
+        wall: Clock = time.time,
+    ) -> None:
+        self.vm = vm
+        self.boot = boot
+        self.clock = clock or asyncio.get_running_loop().time
+        self.wall = wall
+        self.events: collections.deque[TimelineEvent]
+        self.events = collections.deque(maxlen=capacity)
+        self.sequence = 0
+        self.followers: list[Follower] = []
+        self.listeners: list[Listener] = []
+
+    def record(
+        self,
+        kind: EventKind,
+        group: str = "",
+        term: int = 0,
+        request_id: str = "",
+        **detail: object,
+    ) -> TimelineEvent:
+        """Add an event and return it.
+
+        Args:
+          kind: What happened.
+          group: The database group concerned.
+          term: The term concerned.
+          request_id: The caller's request concerned.
+          **detail: Further facts, kept as text of bounded length.
+        """
+        self.sequence += 1
+        event = TimelineEvent(
+            self.vm,
+            self.boot,
+            self.sequence,
+            self.clock(),
+            self.wall(),
+            kind,
+            group,
+            term,
+            request_id,
+            {key: detail_text(value) for key, value in detail.items()},
+        )
+        self.events.append(event)
+        for listener in self.listeners:
+            listener(event)
+        for follower in self.followers:
+            follower.offer(event)
+        return event
+
+    def since(self, sequence: int) -> tuple[list[TimelineEvent], int]:
+        """Return the events above a sequence number and how many are lost.
+
+        Args:
+          sequence: The newest number that the reader already has.
+
+        Returns:
+          The events that are still kept, oldest first, and the number of
+          events above `sequence` that no longer are.
+        """
+        oldest = self.sequence - len(self.events) + 1
+        skipped = max(0, sequence + 1 - oldest)
+        dropped = max(0, oldest - sequence - 1)
+        return list(itertools.islice(self.events, skipped, None)), dropped
+
+    def follow(self) -> Follower:
+        """Return a reader of the events that are recorded from now on."""
+        follower = Follower(lambda: self.remove(follower))
+        self.followers.append(follower)
+        return follower
+
+    def remove(self, follower: Follower) -> None:
+        """Send a follower no further event.
+
+        Args:
+          follower: The follower; unknown ones are ignored.
+        """
+        if follower in self.followers:
+            self.followers.remove(follower)
+
+    def close(self) -> None:
+        """End every follower."""
+        for follower in list(self.followers):
+            follower.close()
+
+
+def detail_text(value: object) -> str:
+    """Return a fact as text of bounded length.
+
+    Args:
+      value: The fact.
+    """
+    return str(value)[:MAX_DETAIL_CHARACTERS]
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/timer/timer_service.py
@@ -0,0 +1,110 @@
+"""The timer of a running proxy."""
+
+import asyncio
+import collections.abc
+import random
+
+from jackdawcrank.timer.agenda import Agenda
+from jackdawcrank.timer.run_callback import run_callback
+from jackdawcrank.timer.subscription import Subscription, TickCallback
+
+Clock = collections.abc.Callable[[], float]
+
+
+class TimerService:
+    """Calls parts of the proxy back on the event loop."""
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.clock = clock or asyncio.get_running_loop().time
+        self.agenda = Agenda()
+        self.calls: set[asyncio.Task[None]] = set()
+        self.handle: asyncio.TimerHandle | None = None
+        self.started = False
+
+    def now(self) -> float:
+        """Return the time in seconds on a monotonic clock."""
+        return self.clock()
+
+    def subscribe(
+        self,
+        name: str,
+        interval_seconds: float,
+        callback: TickCallback,
+        jitter_fraction: float = 0.0,
+        rng: random.Random | None = None,
+    ) -> Subscription:
+        """Call back at regular intervals, for the first time after one.
+
+        Args:
+          name: Names the subscriber in logs.
+          interval_seconds: The time between two calls, above 0.
+          callback: Called with the timer's time.
+          jitter_fraction: How much each wait may vary, from 0 to 1.
+          rng: Where the jitter comes from.
+
+        Raises:
+          ValueError: The interval is not above 0.
+        """
+        subscription = self.agenda.add_repeated(
+            name, interval_seconds, callback, jitter_fraction, rng, self.now()
+        )
+        self.arm()
+        return subscription
+
+    def call_later(
+        self, delay_seconds: float, callback: TickCallback
+    ) -> Subscription:
+        """Call back once.
+
+        Args:
+          delay_seconds: The time until the call.
+          callback: Called with the timer's time.
+        """
+        subscription = self.agenda.add_single(
+            delay_seconds, callback, self.now()
+        )
+        self.arm()
+        return subscription
+
+    async def start(self) -> None:
+        """Begin to call back."""
+        self.started = True
+        self.arm()
+
+    async def close(self) -> None:
+        """Stop calling back and cancel calls in progress."""
+        self.started = False
+        if self.handle:
+            self.handle.cancel()
+        for call in self.calls:
+            call.cancel()
+        await asyncio.gather(*self.calls, return_exceptions=True)
+
+    def arm(self) -> None:
+        """Wake up when the next call is due."""
+        if self.handle:
+            self.handle.cancel()
+            self.handle = None
+        due_at = self.agenda.next_at()
+        if not self.started or due_at is None:
+            return
+        delay = max(0.0, due_at - self.now())
+        self.handle = asyncio.get_running_loop().call_later(delay, self.wake)
+
+    def wake(self) -> None:
+        """Begin every call that is due."""
+        while subscription := self.agenda.pop_due(self.now()):
+            call = asyncio.create_task(self.run(subscription))
+            self.calls.add(call)
+            call.add_done_callback(self.calls.discard)
+        self.arm()
+
+    async def run(self, subscription: Subscription) -> None:
+        """Make one call and plan the next.
+
+        Args:
+          subscription: The subscription that is due.
+        """
+        await run_callback(subscription, self.now())
+        self.agenda.finish(subscription, self.now())
+        self.arm()
