Add the policy of leases, acknowledgement, requests and promotion

Pure step machines and rules that the proxy drives: term leases renewed by one read, acknowledgement by lease or by a confirming quorum, at-most-once execution of a write with a request id, missed-deadline detection judged over several homes, and the promotion from claim to announcement.

--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/takeover.py
@@ -0,0 +1,32 @@
+"""The staggered order in which the homes of a group act for it."""
+
+RANK_DELAY_SECONDS = 0.4
+PREPARING_TAKEOVER_SECONDS = 1.0
+
+
+def rank(vm: str, coordinator: str, homes: tuple[str, ...]) -> int | None:
+    """Return how many others should act before a VM, or None for no home.
+
+    The coordinator comes first, the other homes follow in their order.
+
+    Args:
+      vm: The VM in question.
+      coordinator: The coordinator that the group's row names.
+      homes: The group's homes, in the order on which all VMs agree.
+    """
+    if vm not in homes:
+        return None
+    others = [home for home in homes if home != coordinator]
+    if vm == coordinator:
+        return 0
+    offset = 1 if coordinator in homes else 0
+    return others.index(vm) + offset
+
+
+def takeover_delay(position: int) -> float:
+    """Return the seconds that a home of a rank leaves to those before it.
+
+    Args:
+      position: The rank.
+    """
+    return position * RANK_DELAY_SECONDS
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/detection/judge.py
@@ -0,0 +1,67 @@
+"""The common judgement on a primary from several proxies' evidence."""
+
+import enum
+from collections.abc import Iterable
+
+from jackdawcrank_policy.detection.primary_evidence import (
+    ANSWERING,
+    SUSPICIOUS,
+    PrimaryEvidence,
+    PrimaryHealth,
+)
+
+MIN_SUSPECTING = 2
+
+
+class Judgement(enum.StrEnum):
+    """What the homes of a group conclude about its primary.
+
+    Attributes:
+      HEALTHY: It serves.
+      SLOW: It serves, late.
+      UNCERTAIN: Too few proxies can tell.
+      PARTITIONED: Most proxies have lost it, some still reach it.
+      FAILED: No proxy that can tell reaches it. A paused server looks the
+        same until it resumes.
+    """
+
+    HEALTHY = "healthy"
+    SLOW = "slow"
+    UNCERTAIN = "uncertain"
+    PARTITIONED = "partitioned"
+    FAILED = "failed"
+
+    @property
+    def calls_for_promotion(self) -> bool:
+        """Return whether another server should become the primary."""
+        return self in (Judgement.PARTITIONED, Judgement.FAILED)
+
+
+def judge(evidence: Iterable[PrimaryEvidence], primary: str) -> Judgement:
+    """Combine the evidence of the homes that can be reached.
+
+    At least two homes have to suspect the primary, or all that answered if
+    those are fewer, and more have to suspect it than reach it.
+
+    Args:
+      evidence: One entry for each home that answered, the own included.
+      primary: The primary in question; evidence on another is ignored.
+    """
+    healths = [one.health for one in evidence if one.primary == primary]
+    able = [
+        health
+        for health in healths
+        if health in SUSPICIOUS or health in ANSWERING
+    ]
+    suspecting = sum(1 for health in able if health in SUSPICIOUS)
+    reaching = len(able) - suspecting
+    if suspecting >= min(MIN_SUSPECTING, len(healths)) > 0:
+        if not reaching:
+            return Judgement.FAILED
+        if suspecting > reaching:
+            return Judgement.PARTITIONED
+    if suspecting or not able:
+        return Judgement.UNCERTAIN
+    if healths.count(PrimaryHealth.SLOW) * 2 > len(able):
+        return Judgement.SLOW
+    return Judgement.HEALTHY
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/detection/primary_detector.py
@@ -0,0 +1,136 @@
+"""A detector of failed primaries by missed deadlines."""
+
+import collections
+
+import attrs
+
+from jackdawcrank_policy.detection.primary_evidence import PrimaryHealth
+
+PROBE_INTERVAL_SECONDS = 0.25
+PROBE_TIMEOUT_SECONDS = 0.5
+SUSPECT_AFTER_SECONDS = 1.0
+REFUSING_AFTER_SECONDS = 0.5
+SLOW_ANSWER_SECONDS = 0.25
+MIN_MISSES = 3
+MIN_REFUSALS = 2
+RECENT_ANSWERS = 8
+
+
+@attrs.define
+class PrimaryDetector:
+    """Judges one primary by the probes and statements sent to it.
+
+    An answer counts from the time at which its request was sent, so an
+    answer that a paused process reads late proves nothing about the present.
+
+    Attributes:
+      suspect_after: The silence, in seconds, that makes a primary suspect.
+      min_misses: The deadlines in a row that it has to miss as well.
+      answered_at: When the newest answered request was sent, in seconds.
+      misses: Deadlines missed in a row.
+      refusals: Connections refused in a row.
+      latencies: The newest answers' latencies in seconds; a miss is recorded
+        as its time-out.
+      others_answer_at: When another server of the group last answered.
+    """
+
+    suspect_after: float = SUSPECT_AFTER_SECONDS
+    min_misses: int = MIN_MISSES
+    answered_at: float | None = None
+    misses: int = 0
+    refusals: int = 0
+    latencies: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=RECENT_ANSWERS)
+    )
+    others_answer_at: float | None = None
+
+    def reset(self, now: float) -> None:
+        """Start over for a new primary, which has a full silence to answer.
+
+        Args:
+          now: The time at which it became primary, in seconds.
+        """
+        self.answered_at = now
+        self.misses = 0
+        self.refusals = 0
+        self.latencies.clear()
+
+    def answered(self, sent_at: float, answered_at: float) -> None:
+        """Record an answer to a probe or a statement.
+
+        Args:
+          sent_at: When the request was sent, in seconds.
+          answered_at: When its answer was read.
+        """
+        self.answered_at = max(sent_at, self.answered_at or sent_at)
+        self.misses = 0
+        self.refusals = 0
+        self.latencies.append(answered_at - sent_at)
+
+    def missed(self, sent_at: float, now: float) -> None:
+        """Record a request that was not answered by its deadline.
+
+        Args:
+          sent_at: When the request was sent, in seconds.
+          now: When it was given up.
+        """
+        if self.answered_at is None:
+            self.answered_at = sent_at
+        if sent_at < self.answered_at:
+            return
+        self.misses += 1
+        self.latencies.append(now - sent_at)
+
+    def refused(self, sent_at: float) -> None:
+        """Record a connection that the primary's host refused or reset.
+
+        Args:
+          sent_at: When the connection was tried, in seconds.
+        """
+        if self.answered_at is None:
+            self.answered_at = sent_at
+        self.misses += 1
+        self.refusals += 1
+
+    def other_answered(self, sent_at: float) -> None:
+        """Record an answer of another server of the group.
+
+        Args:
+          sent_at: When the request was sent, in seconds.
+        """
+        self.others_answer_at = max(sent_at, self.others_answer_at or sent_at)
+
+    def silent_seconds(self, now: float) -> float:
+        """Return the time since an answered request was sent."""
+        return 0.0 if self.answered_at is None else now - self.answered_at
+
+    def health(self, now: float) -> PrimaryHealth:
+        """Return how the primary looks.
+
+        Args:
+          now: The present time, in seconds.
+        """
+        if self.answered_at is None:
+            return PrimaryHealth.UNKNOWN
+        silent = self.silent_seconds(now)
+        if self.refusals >= MIN_REFUSALS and silent >= REFUSING_AFTER_SECONDS:
+            return self.unless_cut_off(PrimaryHealth.REFUSING, now)
+        if self.misses >= self.min_misses and silent >= self.suspect_after:
+            return self.unless_cut_off(PrimaryHealth.SUSPECT, now)
+        if self.misses or self.is_slow():
+            return PrimaryHealth.SLOW
+        return PrimaryHealth.HEALTHY
+
+    def unless_cut_off(
+        self, health: PrimaryHealth, now: float
+    ) -> PrimaryHealth:
+        """Return the health, or that this proxy seems to be cut off."""
+        heard = self.others_answer_at
+        if heard is not None and now - heard <= 2 * self.suspect_after:
+            return health
+        return PrimaryHealth.CUT_OFF
+
+    def is_slow(self) -> bool:
+        """Return whether half of the newest answers were late."""
+        late = sum(1 for one in self.latencies if one > SLOW_ANSWER_SECONDS)
+        return late * 2 > len(self.latencies)
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/lease/lease_table.py
@@ -0,0 +1,111 @@
+"""The term leases that one VM holds."""
+
+import math
+
+import attrs
+
+from jackdawcrank_policy.lease.lease_state import LeaseState
+from jackdawcrank_policy.values import GroupPhase, GroupRow
+
+LEASE_SECONDS = 3.0
+DRIFT = 0.02
+LEASE_CLOSING_SECONDS = LEASE_SECONDS * (1 + DRIFT)
+
+
+@attrs.define
+class LeaseTable:
+    """The leases of one VM on the terms of the groups that it serves.
+
+    One read of the change log's head renews every lease. `state` and `holds`
+    compare the time of the act with the time at which that read was sent, so
+    a caller reads its clock and asks after its last await before the act; an
+    answer from before a pause of the process is then never acted on.
+
+    Attributes:
+      vm: The VM that owns the table.
+      renewed_at: When the newest renewing read was sent, in seconds.
+      version: The newest change of the log that is known to be applied.
+      rows: The newest row of each group.
+      row_versions: The log version at which each row was written.
+      given_up: The highest term of each group that was given up.
+    """
+
+    vm: str
+    renewed_at: float = -math.inf
+    version: int = 0
+    rows: dict[str, GroupRow] = attrs.field(factory=dict)
+    row_versions: dict[str, int] = attrs.field(factory=dict)
+    given_up: dict[str, int] = attrs.field(factory=dict)
+
+    def renew(self, read_sent_at: float, version_applied: int) -> None:
+        """Renew all leases from a read of the change log's head.
+
+        Call only once every change up to the version read is installed.
+
+        Args:
+          read_sent_at: The time before the read was sent, in seconds.
+          version_applied: The version that the read returned.
+        """
+        if version_applied < self.version:
+            return
+        self.version = version_applied
+        self.renewed_at = max(self.renewed_at, read_sent_at)
+
+    def install(self, row: GroupRow, version: int) -> bool:
+        """Take a group's row; return whether it was newer than the known.
+
+        A row that arrives ahead of the change log is safe to install: the
+        log moved to it after every read that this table was renewed by.
+
+        Args:
+          row: The row.
+          version: The log version at which it was written.
+        """
+        if version <= self.row_versions.get(row.group, -1):
+            return False
+        self.rows[row.group] = row
+        self.row_versions[row.group] = version
+        return True
+
+    def give_up(self, group: str, term: int) -> None:
+        """Promise never again to act for a term or an earlier one.
+
+        Args:
+          group: The group's name.
+          term: The highest term that is given up.
+        """
+        self.given_up[group] = max(term, self.given_up.get(group, 0))
+
+    def forget(self, group: str) -> None:
+        """Drop a removed group."""
+        self.rows.pop(group, None)
+        self.row_versions.pop(group, None)
+
+    def state(self, group: str, term: int, now: float) -> LeaseState:
+        """Return the state of the lease on a term.
+
+        Args:
+          group: The group's name.
+          term: The term to act for.
+          now: The time of the act, read after the last await before it.
+        """
+        row = self.rows.get(group)
+        if row is None or row.phase is not GroupPhase.ACTIVE:
+            return LeaseState.CLOSED
+        if row.term != term or self.vm not in row.writers:
+            return LeaseState.CLOSED
+        if self.given_up.get(group, 0) >= term:
+            return LeaseState.CLOSED
+        if now < self.renewed_at + LEASE_SECONDS:
+            return LeaseState.HELD
+        return LeaseState.LAPSED
+
+    def holds(self, group: str, term: int, now: float) -> bool:
+        """Return whether the lease on a term is held at the time of an act.
+
+        Args:
+          group: The group's name.
+          term: The term to act for.
+          now: The time of the act, read after the last await before it.
+        """
+        return self.state(group, term, now) is LeaseState.HELD
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/promotion.py
@@ -0,0 +1,406 @@
+"""The step machine of a promotion."""
+
+import enum
+import functools
+
+import attrs
+
+from jackdawcrank_policy.lease import LEASE_CLOSING_SECONDS
+from jackdawcrank_policy.promotion.actions import (
+    Abandoned,
+    AbandonReason,
+    Action,
+    AnnouncePrimary,
+    AskGiveUp,
+    ClaimTerm,
+    FenceServer,
+    Finished,
+    OpenTerm,
+    ProbeServer,
+    SetTimer,
+    Timer,
+)
+from jackdawcrank_policy.promotion.choice import choose_primary, extend_branch
+from jackdawcrank_policy.promotion.events import (
+    Announced,
+    AnnounceFailed,
+    ClaimConflict,
+    Claimed,
+    Event,
+    Fenced,
+    FenceRefused,
+    LeaseGivenUp,
+    OpenConflict,
+    Opened,
+    Probed,
+    StoreLost,
+    TimerFired,
+    Unreachable,
+)
+from jackdawcrank_policy.promotion.plan import PromotionCause, PromotionPlan
+from jackdawcrank_policy.values import (
+    GroupPhase,
+    GroupRow,
+    Position,
+    ServerReport,
+)
+
+GRACE_SECONDS = 0.15
+FENCE_RETRY_SECONDS = 0.25
+OPEN_RETRY_SECONDS = 0.25
+MAX_OPEN_RETRY_SECONDS = 2.0
+CATCH_UP_SECONDS = 2.0
+TARGET_PROBE_SECONDS = 0.01
+ANNOUNCE_RETRY_SECONDS = 0.1
+ANNOUNCE_TRIES = 5
+DEADLINE_SECONDS = 30.0
+
+
+class PromotionStep(enum.Enum):
+    """The steps of a promotion, in their order."""
+
+    CLAIMING = "claiming"
+    HANDING_OVER = "handing_over"
+    CLOSING = "closing"
+    OPENING = "opening"
+    ANNOUNCING = "announcing"
+    OVER = "over"
+
+
+@attrs.define
+class Promotion:
+    """One attempt to open a new term, from the claim to the announcement.
+
+    Call `start` once and `on` for each event; both return the actions to
+    take. The last action is `Finished` or `Abandoned`.
+
+    The claim is a compare-and-set, so one coordinator owns a term. The term
+    opens after a fence quorum holds the claimed term and every lease of an
+    earlier term is closed, by the writers' promises or by time; only then is
+    the most advanced fenced server chosen. A switch-over fences the old
+    primary first and lets its target catch up before the others are fenced.
+
+    Attributes:
+      plan: The facts that the promotion started from.
+      step: The step that it is in.
+      claimed: The row that claims the term.
+      opened: The row that opens the term, once the choice is made.
+      fenced: The reports of the fenced servers.
+      failed: Servers that could not be fenced when last tried.
+      given_up: Writers that promised to act no more for earlier terms.
+      leases_closed: Whether every lease of an earlier term has ended.
+      grace_over: Whether servers that are slow to be fenced are left out.
+      alone_allowed: Whether the writers' promises may stand for fences now.
+      final_position: The old primary's last entry, in a switch-over.
+      claimed_at: When the claim was known to stand, in seconds.
+      announce_tries: How often the new primary was told in vain.
+      open_retry_seconds: The pause before the next try to open the term.
+    """
+
+    plan: PromotionPlan
+    step: PromotionStep = PromotionStep.CLAIMING
+    claimed: GroupRow | None = None
+    opened: GroupRow | None = None
+    fenced: dict[str, ServerReport] = attrs.field(factory=dict)
+    failed: set[str] = attrs.field(factory=set)
+    given_up: set[str] = attrs.field(factory=set)
+    leases_closed: bool = False
+    grace_over: bool = False
+    alone_allowed: bool = False
+    final_position: Position | None = None
+    claimed_at: float = 0.0
+    announce_tries: int = 0
+    open_retry_seconds: float = OPEN_RETRY_SECONDS
+
+    @property
+    def term(self) -> int:
+        """Return the claimed term; 0 before the claim."""
+        return self.claimed.term if self.claimed else 0
+
+    def start(self, now: float) -> list[Action]:
+        """Return the first action, the claim.
+
+        Args:
+          now: The present time, in seconds.
+        """
+        row = self.plan.claimed_row()
+        return [ClaimTerm(self.plan.expected, row)]
+
+    @functools.singledispatchmethod
+    def on(self, event: Event, now: float) -> list[Action]:
+        """Return the actions that an event calls for.
+
+        Args:
+          event: What happened.
+          now: The present time, in seconds.
+        """
+        raise TypeError(f"not an event of a promotion: {event!r}")
+
+    @on.register
+    def _(self, event: Claimed, now: float) -> list[Action]:
+        if self.step is not PromotionStep.CLAIMING:
+            return []
+        self.claimed = event.row
+        self.claimed_at = now
+        self.leases_closed = not self.plan.old_writers
+        actions: list[Action] = [
+            AskGiveUp(vm, self.plan.old_term) for vm in self.plan.old_writers
+        ]
+        actions.append(SetTimer(Timer.LEASES, self.leases_out_at(now)))
+        actions.append(SetTimer(Timer.DEADLINE, now + DEADLINE_SECONDS))
+        if self.plan.cause is PromotionCause.SWITCH_OVER:
+            self.step = PromotionStep.HANDING_OVER
+            actions.append(FenceServer(event.row.primary, self.term))
+            actions.append(SetTimer(Timer.CATCH_UP, now + CATCH_UP_SECONDS))
+            return actions
+        return actions + self.fence_others()
+
+    @on.register
+    def _(self, event: ClaimConflict, now: float) -> list[Action]:
+        if self.step is not PromotionStep.CLAIMING:
+            return []
+        return self.abandon(AbandonReason.SUPERSEDED, event.current)
+
+    @on.register
+    def _(self, event: StoreLost, now: float) -> list[Action]:
+        if self.step is PromotionStep.CLAIMING:
+            return self.abandon(AbandonReason.STORE_UNAVAILABLE)
+        if self.step is not PromotionStep.OPENING:
+            return []
+        at = now + self.open_retry_seconds
+        self.open_retry_seconds = min(
+            2 * self.open_retry_seconds, MAX_OPEN_RETRY_SECONDS
+        )
+        return [SetTimer(Timer.OPEN_RETRY, at)]
+
+    @on.register
+    def _(self, event: LeaseGivenUp, now: float) -> list[Action]:
+        self.given_up.add(event.vm)
+        if self.leases_closed or not self.all_gave_up():
+            return []
+        if now < self.plan.quick_from:
+            at = min(self.plan.quick_from, self.leases_out_at(self.claimed_at))
+            return [SetTimer(Timer.LEASES, at)]
+        self.leases_closed = True
+        return self.open_if_ready(now)
+
+    @on.register
+    def _(self, event: Fenced, now: float) -> list[Action]:
+        report = event.report
+        self.failed.discard(report.server)
+        if report.term != self.term:
+            self.failed.add(report.server)
+            return []
+        self.fenced[report.server] = report
+        if self.step is PromotionStep.HANDING_OVER:
+            self.final_position = report.position
+            assert self.plan.target is not None
+            return [ProbeServer(self.plan.target)]
+        if self.step is PromotionStep.ANNOUNCING:
+            return [self.announcement(report.server)]
+        if self.step is not PromotionStep.CLOSING:
+            return []
+        if len(self.fenced) == self.plan.quorum.fence_count:
+            timer = SetTimer(Timer.GRACE, now + GRACE_SECONDS)
+            return [timer, *self.open_if_ready(now)]
+        return self.open_if_ready(now)
+
+    @on.register
+    def _(self, event: FenceRefused, now: float) -> list[Action]:
+        return self.miss(event.server, now)
+
+    @on.register
+    def _(self, event: Unreachable, now: float) -> list[Action]:
+        return self.miss(event.server, now)
+
+    @on.register
+    def _(self, event: Probed, now: float) -> list[Action]:
+        if self.step is not PromotionStep.HANDING_OVER:
+            return []
+        if event.report.position == self.final_position:
+            return self.fence_others()
+        return [SetTimer(Timer.PROBE, now + TARGET_PROBE_SECONDS)]
+
+    @on.register
+    def _(self, event: Opened, now: float) -> list[Action]:
+        if self.step is not PromotionStep.OPENING:
+            return []
+        return self.announce(event.row)
+
+    @on.register
+    def _(self, event: OpenConflict, now: float) -> list[Action]:
+        if self.step is not PromotionStep.OPENING:
+            return []
+        if event.current is not None and event.current == self.opened:
+            return self.announce(event.current)
+        return self.abandon(AbandonReason.SUPERSEDED, event.current)
+
+    @on.register
+    def _(self, event: Announced, now: float) -> list[Action]:
+        if self.step is not PromotionStep.ANNOUNCING:
+            return []
+        assert self.opened is not None
+        if event.server != self.opened.primary:
+            return []
+        return self.finish(announced=True)
+
+    @on.register
+    def _(self, event: AnnounceFailed, now: float) -> list[Action]:
+        if self.step is not PromotionStep.ANNOUNCING:
+            return []
+        assert self.opened is not None
+        if event.server != self.opened.primary:
+            return []
+        self.announce_tries += 1
+        if self.announce_tries >= ANNOUNCE_TRIES:
+            return self.finish(announced=False)
+        return [SetTimer(Timer.ANNOUNCE_RETRY, now + ANNOUNCE_RETRY_SECONDS)]
+
+    @on.register
+    def _(self, event: TimerFired, now: float) -> list[Action]:
+        match event.timer:
+            case Timer.LEASES:
+                self.leases_closed = True
+                self.alone_allowed = True
+                return self.open_if_ready(now)
+            case Timer.GRACE:
+                self.grace_over = True
+                return self.open_if_ready(now)
+            case Timer.FENCE_RETRY:
+                return self.retry_fences()
+            case Timer.CATCH_UP if self.step is PromotionStep.HANDING_OVER:
+                return self.fence_others()
+            case Timer.PROBE if self.step is PromotionStep.HANDING_OVER:
+                assert self.plan.target is not None
+                return [ProbeServer(self.plan.target)]
+            case Timer.OPEN_RETRY if self.step is PromotionStep.OPENING:
+                assert self.claimed is not None and self.opened is not None
+                return [OpenTerm(self.claimed, self.opened)]
+            case Timer.ANNOUNCE_RETRY if self.step is PromotionStep.ANNOUNCING:
+                assert self.opened is not None
+                return [self.announcement(self.opened.primary)]
+            case Timer.DEADLINE if self.step in (
+                PromotionStep.HANDING_OVER,
+                PromotionStep.CLOSING,
+            ):
+                return self.abandon(self.shortage(), self.claimed)
+        return []
+
+    def leases_out_at(self, claimed_at: float) -> float:
+        """Return when time alone has closed the leases of earlier terms."""
+        if self.plan.leases_out_at is not None:
+            return self.plan.leases_out_at
+        return claimed_at + LEASE_CLOSING_SECONDS
+
+    def all_gave_up(self) -> bool:
+        """Return whether every earlier writer promised to act no more."""
+        return self.given_up.issuperset(self.plan.old_writers)
+
+    def fence_others(self) -> list[Action]:
+        """Enter the closing step and fence the servers not yet fenced."""
+        self.step = PromotionStep.CLOSING
+        return [
+            FenceServer(server, self.term)
+            for server in self.plan.servers
+            if server not in self.fenced
+        ]
+
+    def retry_fences(self) -> list[Action]:
+        """Fence the servers again that could not be fenced."""
+        if self.step is not PromotionStep.CLOSING:
+            return []
+        servers = sorted(self.failed)
+        self.failed.clear()
+        return [FenceServer(server, self.term) for server in servers]
+
+    def miss(self, server: str, now: float) -> list[Action]:
+        """Note a server that could not be fenced or probed."""
+        if self.step is PromotionStep.HANDING_OVER:
+            if server == self.plan.target and self.final_position is not None:
+                return [SetTimer(Timer.PROBE, now + TARGET_PROBE_SECONDS)]
+            return self.fence_others()
+        if self.step is not PromotionStep.CLOSING:
+            return []
+        self.failed.add(server)
+        retry = SetTimer(Timer.FENCE_RETRY, now + FENCE_RETRY_SECONDS)
+        return [retry, *self.open_if_ready(now)]
+
+    def open_if_ready(self, now: float) -> list[Action]:
+        """Choose and open once nothing can be acknowledged any more."""
+        if self.step is not PromotionStep.CLOSING or not self.leases_closed:
+            return []
+        if not (self.has_quorum() and self.has_waited()):
+            return []
+        chosen = choose_primary(
+            self.fenced.values(),
+            self.plan.branch,
+            self.plan.avoid,
+            self.plan.target,
+        )
+        if chosen is None:
+            return []
+        assert self.claimed is not None
+        branch = extend_branch(
+            self.plan.branch, self.term, chosen.position.offset
+        )
+        self.opened = attrs.evolve(
+            self.claimed,
+            phase=GroupPhase.ACTIVE,
+            primary=chosen.server,
+            writers=self.plan.writers,
+            branch=branch,
+        )
+        self.step = PromotionStep.OPENING
+        return [OpenTerm(self.claimed, self.opened)]
+
+    def has_quorum(self) -> bool:
+        """Return whether enough servers are fenced to open the term."""
+        if len(self.fenced) >= self.plan.quorum.fence_count:
+            return True
+        if not self.fenced or not self.alone_allowed:
+            return False
+        if self.plan.cause is PromotionCause.FORCED:
+            return True
+        return self.plan.may_open_below_quorum and self.all_gave_up()
+
+    def has_waited(self) -> bool:
+        """Return whether the servers not fenced have had their chance."""
+        if self.grace_over or self.alone_allowed:
+            return True
+        if self.plan.cause is PromotionCause.SWITCH_OVER:
+            return self.plan.target in self.fenced
+        return len(self.fenced) + len(self.failed) == len(self.plan.servers)
+
+    def shortage(self) -> AbandonReason:
+        """Return why the term could not be opened."""
+        if self.has_quorum():
+            return AbandonReason.NO_CANDIDATE
+        return AbandonReason.TOO_FEW_SERVERS
+
+    def announce(self, row: GroupRow) -> list[Action]:
+        """Tell the new primary first, then the other fenced servers."""
+        self.step = PromotionStep.ANNOUNCING
+        self.opened = row
+        others = sorted(self.fenced.keys() - {row.primary})
+        return [self.announcement(name) for name in (row.primary, *others)]
+
+    def announcement(self, server: str) -> AnnouncePrimary:
+        """Return the action that tells a server of the open term."""
+        assert self.opened is not None
+        start = self.opened.branch.starts[-1]
+        return AnnouncePrimary(
+            server, self.opened.term, start.offset, self.opened.primary
+        )
+
+    def finish(self, announced: bool) -> list[Action]:
+        """End with an open term."""
+        assert self.opened is not None
+        self.step = PromotionStep.OVER
+        return [Finished(self.opened, announced)]
+
+    def abandon(
+        self, reason: AbandonReason, current: GroupRow | None = None
+    ) -> list[Action]:
+        """End without an open term."""
+        self.step = PromotionStep.OVER
+        return [Abandoned(reason, current)]
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/requests/request_execution.py
@@ -0,0 +1,283 @@
+"""The at-most-once execution of one write with a request id."""
+
+import dataclasses
+import enum
+import functools
+
+import attrs
+
+from jackdawcrank_policy.requests.request_record import (
+    CREATE_TABLE,
+    INSERT_RECORD,
+    SELECT_RECORD,
+    UPDATE_RECORD,
+    RequestRecord,
+    RequestResult,
+)
+from jackdawcrank_policy.requests.statement_reply import (
+    ConnectionLost,
+    ServerError,
+    StatementDone,
+    StatementReply,
+)
+from jackdawcrank_policy.values import (
+    Failed,
+    NotRun,
+    NotRunReason,
+    Position,
+    Unknown,
+)
+
+ER_DUPLICATE_KEY = 1062
+ER_NO_SUCH_TABLE = 1146
+ER_LOCK_WAIT_TIMEOUT = 1205
+ER_DEADLOCK = 1213
+ER_READ_ONLY = 1290
+ER_QUERY_TIMEOUT = 3024
+ROLLED_BACK_CODES = frozenset(
+    {ER_LOCK_WAIT_TIMEOUT, ER_DEADLOCK, ER_READ_ONLY, ER_QUERY_TIMEOUT}
+)
+BUSY_RETRY_MS = 200
+NO_PRIMARY_RETRY_MS = 500
+
+
+class RequestStep(enum.Enum):
+    """The steps of an execution, in the order in which they run."""
+
+    BEGIN = "begin"
+    INSERT = "insert"
+    RUN = "run"
+    RECORD = "record"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    CREATE = "create"
+    LOOK_UP = "look_up"
+
+
+@attrs.frozen
+class Statement:
+    """A statement for the executor to run on the execution's connection.
+
+    Attributes:
+      step: The step that it belongs to.
+      sql: The text, with `%s` for each parameter.
+      parameters: The parameters.
+    """
+
+    step: RequestStep
+    sql: str
+    parameters: tuple[str | int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Executed:
+    """The write stands on the primary and is to be acknowledged.
+
+    Attributes:
+      result: The result of the first execution.
+      repeated: Whether an earlier execution gave it. A repeat is
+        acknowledged like a read of the primary.
+      position: The commit's position, where this execution wrote it.
+    """
+
+    result: RequestResult
+    repeated: bool
+    position: Position | None = None
+
+
+Finish = Executed | NotRun | Failed | Unknown
+
+
+@attrs.define
+class RequestExecution:
+    """Runs a write and its request record in one backend transaction.
+
+    Call `start` and run the statement that it returns; pass each reply to
+    `on`, which returns the next statement or the end. The whole execution
+    runs on one connection. After any end but `Executed` with a live
+    connection, and always after `ConnectionLost`, the connection is closed.
+
+    A repeat that races the first execution blocks on the record's unique key
+    until the first has committed or rolled back. The statement is sent once
+    per execution, and an execution is never restarted after it was sent.
+
+    Attributes:
+      request_id: The caller's request id.
+      digest: The digest of the statement.
+      sql: The statement itself.
+      created_at: The time of day, in unix seconds.
+      implicit_commit: Whether the statement commits by itself, as DDL does.
+      step: The step whose reply is awaited.
+    """
+
+    request_id: str
+    digest: str
+    sql: str
+    created_at: int
+    implicit_commit: bool = False
+    step: RequestStep = RequestStep.BEGIN
+    result: RequestResult = RequestResult(0, 0)
+    after_rollback: Statement | Finish | None = None
+    created_table: bool = False
+
+    def start(self) -> Statement:
+        """Return the first statement."""
+        return self.send(Statement(RequestStep.BEGIN, "BEGIN"))
+
+    def on(self, reply: StatementReply) -> Statement | Finish:
+        """Return what follows the reply to the awaited statement.
+
+        Args:
+          reply: What became of it.
+        """
+        following = _follow(reply, self)
+        if isinstance(following, Statement):
+            return self.send(following)
+        return following
+
+    def send(self, statement: Statement) -> Statement:
+        """Await the reply to a statement."""
+        self.step = statement.step
+        return statement
+
+    def roll_back(self, then: Statement | Finish) -> Statement:
+        """Return the roll-back that comes before what follows."""
+        self.after_rollback = then
+        return Statement(RequestStep.ROLLBACK, "ROLLBACK")
+
+    def succeed(self, reply: StatementDone) -> Statement | Finish:
+        """Return what follows a statement that ran."""
+        match self.step:
+            case RequestStep.BEGIN:
+                return Statement(
+                    RequestStep.INSERT,
+                    INSERT_RECORD,
+                    (self.request_id, self.digest, self.created_at),
+                )
+            case RequestStep.INSERT:
+                return Statement(RequestStep.RUN, self.sql)
+            case RequestStep.RUN:
+                self.result = RequestResult(
+                    reply.affected_rows, reply.last_insert_id
+                )
+                return Statement(
+                    RequestStep.RECORD,
+                    UPDATE_RECORD,
+                    (
+                        self.result.affected_rows,
+                        self.result.last_insert_id,
+                        self.request_id,
+                    ),
+                )
+            case RequestStep.RECORD:
+                return Statement(RequestStep.COMMIT, "COMMIT")
+            case RequestStep.COMMIT:
+                return Executed(self.result, False, reply.position)
+            case RequestStep.CREATE:
+                return Statement(RequestStep.BEGIN, "BEGIN")
+            case RequestStep.ROLLBACK:
+                assert self.after_rollback is not None
+                return self.after_rollback
+            case RequestStep.LOOK_UP:
+                return self.judge_record(reply)
+
+    def judge_record(self, reply: StatementDone) -> Finish:
+        """Compare this request with the one recorded under its id."""
+        if not reply.rows:
+            return _busy("the request's record has just been removed")
+        record = RequestRecord.from_row(reply.rows[0])
+        if record.statement_digest == self.digest:
+            return Executed(record.result, repeated=True)
+        return NotRun(
+            NotRunReason.BAD_OPTION,
+            "the request id was used for another statement",
+        )
+
+    def fail(self, error: ServerError) -> Statement | Finish:
+        """Return what follows an error that the server reported."""
+        match self.step:
+            case RequestStep.INSERT:
+                return self.fail_insert(error)
+            case RequestStep.RUN | RequestStep.RECORD:
+                if self.implicit_commit:
+                    return Unknown("the statement may have committed itself")
+                return self.roll_back(_failed(error))
+            case RequestStep.COMMIT if error.code in ROLLED_BACK_CODES:
+                return _failed(error)
+            case RequestStep.COMMIT:
+                return Unknown(f"the commit was answered by {error.code}")
+            case RequestStep.ROLLBACK:
+                assert self.after_rollback is not None
+                if isinstance(self.after_rollback, Statement):
+                    return _not_started(error.message)
+                return self.after_rollback
+            case _:
+                return _not_started(error.message)
+
+    def fail_insert(self, error: ServerError) -> Statement | Finish:
+        """Return what follows a record that could not be inserted."""
+        if error.code == ER_DUPLICATE_KEY:
+            return self.roll_back(
+                Statement(
+                    RequestStep.LOOK_UP, SELECT_RECORD, (self.request_id,)
+                )
+            )
+        if error.code == ER_NO_SUCH_TABLE and not self.created_table:
+            self.created_table = True
+            return self.roll_back(Statement(RequestStep.CREATE, CREATE_TABLE))
+        if error.code in (ER_LOCK_WAIT_TIMEOUT, ER_DEADLOCK):
+            return self.roll_back(_busy("the same request is running"))
+        if error.code == ER_READ_ONLY:
+            return self.roll_back(_not_started(error.message))
+        return self.roll_back(_failed(error))
+
+    def lose(self, reply: ConnectionLost) -> Finish:
+        """Return the end of an execution that lost its connection.
+
+        The server rolls back a transaction whose connection has ended before
+        its commit was sent.
+        """
+        if self.step is RequestStep.COMMIT:
+            return Unknown("the connection was lost during the commit")
+        ran = self.step in (RequestStep.RUN, RequestStep.RECORD)
+        if ran and self.implicit_commit:
+            return Unknown("the statement may have committed itself")
+        if self.step is RequestStep.ROLLBACK and isinstance(
+            self.after_rollback, Failed | NotRun
+        ):
+            return self.after_rollback
+        return _not_started(reply.detail)
+
+
+@functools.singledispatch
+def _follow(
+    reply: StatementReply, execution: RequestExecution
+) -> Statement | Finish:
+    raise TypeError(f"not a reply: {reply!r}")
+
+
+@_follow.register
+def _(reply: StatementDone, execution: RequestExecution) -> Statement | Finish:
+    return execution.succeed(reply)
+
+
+@_follow.register
+def _(reply: ServerError, execution: RequestExecution) -> Statement | Finish:
+    return execution.fail(reply)
+
+
+@_follow.register
+def _(reply: ConnectionLost, execution: RequestExecution) -> Statement | Finish:
+    return execution.lose(reply)
+
+
+def _failed(error: ServerError) -> Failed:
+    return Failed(error.code, error.sqlstate, error.message)
+
+
+def _busy(detail: str) -> NotRun:
+    return NotRun(NotRunReason.OVERLOADED, detail, BUSY_RETRY_MS)
+
+
+def _not_started(detail: str) -> NotRun:
+    return NotRun(NotRunReason.NO_PRIMARY, detail, NO_PRIMARY_RETRY_MS)
