Add the policy of reads, budgets and admission

First version of the public interfaces: session tokens, freshness evidence, read routing, home proxies, connection seats, admission, limits and retries.

--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/admission/__init__.py
@@ -0,0 +1,21 @@
+"""Admission of statements to a group's slots."""
+
+from jackdawcrank_policy.admission.admission_request import AdmissionRequest
+from jackdawcrank_policy.admission.admission_results import (
+    Admitted,
+    Queued,
+    Refused,
+)
+from jackdawcrank_policy.admission.class_queue import ClassQueue
+from jackdawcrank_policy.admission.fair_queue import FairQueue
+from jackdawcrank_policy.admission.group_admission import GroupAdmission
+
+__all__ = [
+    "AdmissionRequest",
+    "Admitted",
+    "ClassQueue",
+    "FairQueue",
+    "GroupAdmission",
+    "Queued",
+    "Refused",
+]
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/admission/class_queue.py
@@ -0,0 +1,85 @@
+"""The waiting requests of one caller class."""
+
+import collections
+
+import attrs
+
+from jackdawcrank_policy.admission.admission_request import AdmissionRequest
+
+
+@attrs.define
+class ClassQueue:
+    """Requests by caller; callers take turns.
+
+    Attributes:
+      weight: The class's weight.
+      served: The class's virtual time, which grows by 1/weight per request.
+      callers: The waiting requests of each caller, next caller first.
+      length: How many requests wait.
+    """
+
+    weight: int
+    served: float = 0.0
+    callers: collections.OrderedDict[
+        str, collections.deque[AdmissionRequest]
+    ] = attrs.Factory(collections.OrderedDict)
+    length: int = 0
+
+    def push(self, request: AdmissionRequest) -> None:
+        """Add a request behind its caller's others."""
+        waiting = self.callers.setdefault(request.caller, collections.deque())
+        waiting.append(request)
+        self.length += 1
+
+    def pop(self) -> AdmissionRequest:
+        """Remove the next request and send its caller to the back."""
+        caller, waiting = self.callers.popitem(last=False)
+        request = waiting.popleft()
+        if waiting:
+            self.callers[caller] = waiting
+        self.length -= 1
+        return request
+
+    def pop_longest(self) -> AdmissionRequest:
+        """Remove the newest request of the caller with the most waiting."""
+        caller = self.longest_caller()
+        request = self.callers[caller].pop()
+        if not self.callers[caller]:
+            del self.callers[caller]
+        self.length -= 1
+        return request
+
+    def longest_caller(self) -> str:
+        """Return the caller with the most requests waiting."""
+        return max(self.callers, key=lambda caller: len(self.callers[caller]))
+
+    def waiting_of(self, caller: str) -> int:
+        """Return how many requests of a caller wait."""
+        return len(self.callers.get(caller, ()))
+
+    def remove_late(self, latest: float) -> list[AdmissionRequest]:
+        """Remove and return requests whose deadline is before an instant.
+
+        Args:
+          latest: When an answer could come at the earliest.
+        """
+        late = [
+            request
+            for waiting in self.callers.values()
+            for request in waiting
+            if request.deadline < latest
+        ]
+        for request in late:
+            self.discard(request)
+        return late
+
+    def discard(self, request: AdmissionRequest) -> bool:
+        """Remove a request; return whether it was waiting."""
+        waiting = self.callers.get(request.caller)
+        if waiting is None or request not in waiting:
+            return False
+        waiting.remove(request)
+        if not waiting:
+            del self.callers[request.caller]
+        self.length -= 1
+        return True
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/__init__.py
@@ -0,0 +1,23 @@
+"""The split of a group's connections over its home proxies."""
+
+from jackdawcrank_policy.budget.budget_ledger import (
+    LINGER_SECONDS,
+    BudgetLedger,
+)
+from jackdawcrank_policy.budget.seats import (
+    SEATS,
+    departed,
+    plan_seats,
+    seat_share,
+    writer_names,
+)
+
+__all__ = [
+    "LINGER_SECONDS",
+    "SEATS",
+    "BudgetLedger",
+    "departed",
+    "plan_seats",
+    "seat_share",
+    "writer_names",
+]
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/__init__.py
@@ -0,0 +1,8 @@
+"""What is proved about the data that each backend server holds."""
+
+from jackdawcrank_policy.freshness.answer_check import answer_stands
+from jackdawcrank_policy.freshness.evidence import Evidence
+from jackdawcrank_policy.freshness.primary_history import PrimaryHistory
+from jackdawcrank_policy.freshness.server_evidence import ServerEvidence
+
+__all__ = ["Evidence", "PrimaryHistory", "ServerEvidence", "answer_stands"]
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/primary_history.py
@@ -0,0 +1,60 @@
+"""Upper bounds of a primary's log over the last seconds."""
+
+import bisect
+
+import attrs
+
+from jackdawcrank_policy.values import Position
+
+MAX_POINTS = 512
+MIN_SPACING_SECONDS = 0.02
+
+
+@attrs.define
+class PrimaryHistory:
+    """Instants and the positions that the primary had not passed by then.
+
+    Attributes:
+      instants: Seconds on the monotonic clock, ascending.
+      offsets: For each instant, the log offset that bounds the primary's
+        log at that instant, ascending.
+    """
+
+    instants: list[float] = attrs.Factory(list)
+    offsets: list[int] = attrs.Factory(list)
+
+    def add(self, instant: float, position: Position) -> None:
+        """Record that the primary was not above a position at an instant.
+
+        Dropping a point only makes ages look older, so points that come out
+        of order or too close together are left out.
+
+        Args:
+          instant: When the probe or write that showed the position was sent.
+          position: The position that it showed.
+        """
+        if self.instants and instant < self.instants[-1]:
+            return
+        if self.offsets and position.offset <= self.offsets[-1]:
+            self.instants[-1] = instant
+            return
+        if self.crowded(instant):
+            return
+        self.instants.append(instant)
+        self.offsets.append(position.offset)
+        del self.instants[:-MAX_POINTS], self.offsets[:-MAX_POINTS]
+
+    def crowded(self, instant: float) -> bool:
+        """Return whether an instant is too close to the last but one."""
+        if len(self.instants) < 2:
+            return False
+        return instant - self.instants[-2] < MIN_SPACING_SECONDS
+
+    def complete_as_of(self, position: Position) -> float | None:
+        """Return the latest instant whose writes a position surely covers.
+
+        Args:
+          position: How far a replica has applied the log.
+        """
+        index = bisect.bisect_right(self.offsets, position.offset) - 1
+        return self.instants[index] if index >= 0 else None
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/home_vms.py
@@ -0,0 +1,59 @@
+"""Rendezvous hashing of database groups over VMs."""
+
+from collections.abc import Mapping, Sequence
+
+import xxhash
+
+MIN_HOMES = 2
+
+
+def home_vms(
+    group: str,
+    live_vms: Sequence[str],
+    count: int,
+    data_centers: Mapping[str, str] | None = None,
+) -> tuple[str, ...]:
+    """Return the group's home VMs, best ranked first.
+
+    A VM that comes or goes changes the homes of those groups only for which
+    it ranks among the first.
+
+    Args:
+      group: The group's name.
+      live_vms: The names of the VMs that may be homes, in any order.
+      count: How many homes to choose; fewer if there are fewer VMs.
+      data_centers: The data centre of each VM. If given, a data centre gets
+        a second home only after every other one has its first.
+    """
+    ranked = sorted(set(live_vms), key=lambda vm: (-rank(group, vm), vm))
+    if data_centers is not None:
+        ranked = spread(ranked, data_centers)
+    return tuple(ranked[:count])
+
+
+def rank(group: str, vm: str) -> int:
+    """Return the weight of a VM for a group."""
+    return xxhash.xxh3_64_intdigest(f"{group}\0{vm}".encode())
+
+
+def spread(ranked: list[str], data_centers: Mapping[str, str]) -> list[str]:
+    """Return ranked VMs reordered so that data centres take turns."""
+    used: dict[str, int] = {}
+    rounds = []
+    for index, vm in enumerate(ranked):
+        data_center = data_centers.get(vm, "")
+        rounds.append((used.get(data_center, 0), index))
+        used[data_center] = used.get(data_center, 0) + 1
+    return [ranked[index] for _, index in sorted(rounds)]
+
+
+def home_count(slots: int, servers: int, per_home: int) -> int:
+    """Return how many homes a group needs, one of them lost.
+
+    Args:
+      slots: Statements that one backend server runs at once.
+      servers: The group's backend servers.
+      per_home: Statements at once that one home should carry.
+    """
+    needed = -(-slots * servers // per_home)
+    return max(MIN_HOMES, needed + 1)
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choices.py
@@ -0,0 +1,52 @@
+"""What to do with a read."""
+
+import attrs
+
+from jackdawcrank_policy.values import NotRun
+
+
+@attrs.frozen
+class ToServer:
+    """Run the read on a replica.
+
+    Attributes:
+      server: The replica's name.
+      complete_as_of: The instant up to which the replica surely holds every
+        write, if known. An answer that comes later than the stated age after
+        it has to be dropped.
+    """
+
+    server: str
+    complete_as_of: float | None = None
+
+
+@attrs.frozen
+class WaitForReplica:
+    """Wait for a replica to reach the token's position, then choose again.
+
+    Attributes:
+      server: The replica's name.
+      until: When to choose again without further waiting.
+    """
+
+    server: str
+    until: float
+
+
+@attrs.frozen
+class ToPrimary:
+    """Run the read on the primary, under the term lease."""
+
+
+@attrs.frozen
+class Refuse:
+    """Answer that the read did not run.
+
+    Attributes:
+      outcome: The answer.
+    """
+
+    outcome: NotRun
+
+
+ReadChoice = ToServer | WaitForReplica | ToPrimary | Refuse
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/routing_table.py
@@ -0,0 +1,99 @@
+"""What one proxy weighs when it sends a group's reads."""
+
+import random
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from jackdawcrank_policy.freshness import Evidence
+from jackdawcrank_policy.routing.candidate import Candidate
+from jackdawcrank_policy.routing.choices import ReadChoice
+from jackdawcrank_policy.routing.choose_read import choose_read
+from jackdawcrank_policy.routing.read_request import ReadRequest
+from jackdawcrank_policy.routing.server_load import ServerLoad
+from jackdawcrank_policy.values import ServerSpec
+
+
+@attrs.define
+class RoutingTable:
+    """The servers of one group, with their evidence and load.
+
+    Attributes:
+      evidence: What is proved of the servers.
+      primary: The name of the open term's primary; empty if there is none.
+      specs: The declared servers by name.
+      loads: The load of each server by name.
+    """
+
+    evidence: Evidence = attrs.Factory(Evidence)
+    primary: str = ""
+    specs: dict[str, ServerSpec] = attrs.Factory(dict)
+    loads: dict[str, ServerLoad] = attrs.Factory(dict)
+
+    def set_servers(
+        self,
+        specs: Iterable[ServerSpec],
+        slots: int,
+        latencies: Mapping[str, float],
+    ) -> None:
+        """Take over the declared servers; keep the load of known ones.
+
+        Args:
+          specs: The group's servers.
+          slots: Statements that one server runs at once for this proxy.
+          latencies: Seconds of a round trip to each server, by name.
+        """
+        self.specs = {spec.name: spec for spec in specs}
+        for name in [*self.evidence.servers]:
+            if name not in self.specs:
+                self.evidence.forget(name)
+        known = self.loads
+        self.loads = {
+            name: known.get(name) or ServerLoad() for name in self.specs
+        }
+        for name, load in self.loads.items():
+            load.slots = slots
+            load.latency = latencies.get(name, 0.0)
+
+    def candidates(self, request: ReadRequest, now: float) -> list[Candidate]:
+        """Return the group's servers as choices for a read."""
+        return [self.candidate(name, request, now) for name in self.specs]
+
+    def candidate(
+        self, name: str, request: ReadRequest, now: float
+    ) -> Candidate:
+        """Return one server as a choice for a read."""
+        load = self.loads[name]
+        evidence = self.evidence
+        return Candidate(
+            server=name,
+            primary=name == self.primary,
+            state=self.specs[name].state,
+            position=evidence.position(name),
+            complete_as_of=evidence.complete_as_of(name),
+            catch_up=self.catch_up(name, request, now),
+            expected=load.expected(now),
+            failing=load.failing(now),
+        )
+
+    def catch_up(
+        self, name: str, request: ReadRequest, now: float
+    ) -> float | None:
+        """Return the seconds until a server should reach the token."""
+        token = request.token_position
+        if token is None:
+            return None
+        return self.evidence.catch_up_seconds(name, token, now)
+
+    def choose(
+        self, request: ReadRequest, now: float, rng: random.Random
+    ) -> ReadChoice:
+        """Return what to do with a read.
+
+        Args:
+          request: What the read asks for.
+          now: The current time.
+          rng: Breaks near ties between replicas.
+        """
+        candidates = self.candidates(request, now)
+        return choose_read(request, candidates, self.evidence.branch, now, rng)
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/tokens/forged_token.py
@@ -0,0 +1,14 @@
+"""The outcome of reading a token that this system did not sign."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class ForgedToken:
+    """A token that cannot be trusted.
+
+    Attributes:
+      detail: What is wrong with it, for people.
+    """
+
+    detail: str
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/tokens/token_signer.py
@@ -0,0 +1,116 @@
+"""The signed text form of session tokens."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+
+from jackdawcrank_policy.tokens.forged_token import ForgedToken
+from jackdawcrank_policy.tokens.session_token import MAX_GROUPS, SessionToken
+from jackdawcrank_policy.values import Position
+
+MAX_TOKEN_CHARACTERS = 512
+TOKEN_VERSION = 1
+HEADER_BYTES = 2
+MAC_BYTES = 16
+GROUP_KEY_BYTES = 8
+MIN_KEY_BYTES = 16
+# Lengths in bytes that keep MAX_GROUPS entries within the limit.
+TERM_BYTES = 4
+OFFSET_BYTES = 8
+
+
+class TokenSigner:
+    """Signs session tokens and reads them back.
+
+    The first key signs; every key verifies, so that a new key is first added
+    at the end on every proxy, then moved to the front, and the old one is
+    removed when its tokens are no longer in use.
+
+    Attributes:
+      keys: The secret keys, each of at least 16 bytes.
+    """
+
+    def __init__(self, keys: tuple[bytes, ...]) -> None:
+        if not keys or any(len(key) < MIN_KEY_BYTES for key in keys):
+            raise ValueError(f"a key needs at least {MIN_KEY_BYTES} bytes")
+        self.keys = keys
+
+    def sign(self, token: SessionToken) -> str:
+        """Return the token as URL-safe text of at most 512 characters."""
+        key = self.keys[0]
+        payload = bytes((TOKEN_VERSION, key_id(key))) + encode_entries(token)
+        mac = compute_mac(key, payload)
+        return base64.urlsafe_b64encode(payload + mac).rstrip(b"=").decode()
+
+    def verify(self, text: str) -> SessionToken | ForgedToken:
+        """Return the token written as text, or why it is not to be trusted.
+
+        Args:
+          text: What a caller gave as its token.
+        """
+        if len(text) > MAX_TOKEN_CHARACTERS:
+            return ForgedToken("the token is too long")
+        data = decode_text(text)
+        if data is None or len(data) < HEADER_BYTES + MAC_BYTES:
+            return ForgedToken("the token is malformed")
+        payload, mac = data[:-MAC_BYTES], data[-MAC_BYTES:]
+        if not self.signed(payload, mac):
+            return ForgedToken("the signature does not match")
+        if payload[0] != TOKEN_VERSION:
+            return ForgedToken(f"unknown token version {payload[0]}")
+        return decode_entries(payload[HEADER_BYTES:])
+
+    def signed(self, payload: bytes, mac: bytes) -> bool:
+        """Return whether one of the keys made the code of a payload."""
+        return any(
+            hmac.compare_digest(compute_mac(key, payload), mac)
+            for key in self.keys
+            if key_id(key) == payload[1]
+        )
+
+
+def key_id(key: bytes) -> int:
+    """Return the byte that tells which key may have signed a token."""
+    return hashlib.sha256(b"jackdawcrank key id" + key).digest()[0]
+
+
+def compute_mac(key: bytes, payload: bytes) -> bytes:
+    """Return the truncated HMAC-SHA256 of a payload."""
+    return hmac.new(key, payload, hashlib.sha256).digest()[:MAC_BYTES]
+
+
+def decode_text(text: str) -> bytes | None:
+    """Return the bytes of URL-safe text; None if it is malformed."""
+    padding = "=" * (-len(text) % 4)
+    try:
+        return base64.b64decode(text + padding, altchars=b"-_", validate=True)
+    except (binascii.Error, ValueError):
+        return None
+
+
+def encode_entries(token: SessionToken) -> bytes:
+    """Return the entries of a token as fixed-size records."""
+    return b"".join(
+        key.to_bytes(GROUP_KEY_BYTES)
+        + position.term.to_bytes(TERM_BYTES)
+        + position.offset.to_bytes(OFFSET_BYTES)
+        for key, position in token.seen
+    )
+
+
+def decode_entries(body: bytes) -> SessionToken | ForgedToken:
+    """Return the token whose entries are the records in a signed body."""
+    size = GROUP_KEY_BYTES + TERM_BYTES + OFFSET_BYTES
+    if len(body) % size or len(body) > MAX_GROUPS * size:
+        return ForgedToken("the token has a wrong length")
+    records = [body[i : i + size] for i in range(0, len(body), size)]
+    return SessionToken(tuple(decode_entry(record) for record in records))
+
+
+def decode_entry(record: bytes) -> tuple[int, Position]:
+    """Return the group key and position of one record."""
+    key = int.from_bytes(record[:GROUP_KEY_BYTES])
+    term_end = GROUP_KEY_BYTES + TERM_BYTES
+    term = int.from_bytes(record[GROUP_KEY_BYTES:term_end])
+    return key, Position(term, int.from_bytes(record[term_end:]))
