Add metrics and structured logs

Metrics are declared once, added up in memory and sent in batches, so that a busy group costs no datagram per statement.

--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/logs/formatters.py
@@ -0,0 +1,64 @@
+"""The forms of a log line."""
+
+import datetime
+import json
+import logging
+import typing
+
+FIELDS_ATTRIBUTE = "fields"
+
+
+def line_fields(record: logging.LogRecord) -> dict[str, typing.Any]:
+    """Return what a log line says, in the order that it says it.
+
+    Args:
+      record: The log record.
+    """
+    instant = datetime.datetime.fromtimestamp(record.created, datetime.UTC)
+    fields = {
+        "time": instant.isoformat(timespec="milliseconds"),
+        "level": record.levelname.lower(),
+        "message": record.getMessage(),
+        "source": f"{record.filename}:{record.lineno}",
+    }
+    fields.update(getattr(record, FIELDS_ATTRIBUTE, {}))
+    if record.exc_info and record.exc_info[0]:
+        formatter = logging.Formatter()
+        fields["exception"] = formatter.formatException(record.exc_info)
+    return fields
+
+
+class TextFormatter(logging.Formatter):
+    """Writes a line as key=value pairs, values quoted where needed."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return a record as one line of text.
+
+        Args:
+          record: The log record.
+        """
+        pairs = line_fields(record).items()
+        return " ".join(f"{key}={quote(value)}" for key, value in pairs)
+
+
+class JsonFormatter(logging.Formatter):
+    """Writes a line as a JSON object."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return a record as one line of JSON.
+
+        Args:
+          record: The log record.
+        """
+        return json.dumps(line_fields(record), default=str)
+
+
+def quote(value: object) -> str:
+    """Return a value as text, in JSON's quotes where it is not one word.
+
+    Args:
+      value: The value.
+    """
+    text = str(value)
+    plain = text and not any(char in text for char in ' ="\\\n\r\t')
+    return text if plain else json.dumps(text)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/metrics/metrics.py
@@ -0,0 +1,177 @@
+"""Collection of metrics and their way to statsd."""
+
+import collections
+import re
+
+import attrs
+import statsd
+
+from jackdawcrank.metrics.metric_spec import MetricSpec
+
+FLUSH_INTERVAL_SECONDS = 10.0
+MAX_SAMPLES = 100
+MAX_DATAGRAM_BYTES = 1400
+MILLISECONDS_PER_SECOND = 1000
+UNSAFE_CHARACTERS = re.compile(r"[^A-Za-z0-9_-]")
+
+Key = tuple[MetricSpec, str]
+
+
+@attrs.define
+class TimingTotals:
+    """A timing metric since the start and since the last flush.
+
+    Attributes:
+      count: The values since the start.
+      total_ms: Their sum in milliseconds.
+      max_ms: The greatest.
+      samples: Values since the last flush, at most `MAX_SAMPLES`.
+    """
+
+    count: int = 0
+    total_ms: float = 0.0
+    max_ms: float = 0.0
+    samples: list[float] = attrs.field(factory=list)
+
+    def add(self, value_ms: float) -> None:
+        """Take a value in.
+
+        Args:
+          value_ms: The value in milliseconds.
+        """
+        self.count += 1
+        self.total_ms += value_ms
+        self.max_ms = max(self.max_ms, value_ms)
+        if len(self.samples) < MAX_SAMPLES:
+            self.samples.append(value_ms)
+
+
+class Metrics:
+    """Adds metrics up in memory and sends what changed when flushed.
+
+    Without a statsd host nothing is sent, and the values are still there for
+    the status page.
+    """
+
+    def __init__(
+        self,
+        host: str | None = None,
+        port: int = 8125,
+        prefix: str = "jackdawcrank",
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.prefix = prefix
+        self.client: statsd.StatsClient | None = None
+        self.counters: collections.Counter[Key] = collections.Counter()
+        self.unsent: collections.Counter[Key] = collections.Counter()
+        self.gauges: dict[Key, float] = {}
+        self.changed_gauges: set[Key] = set()
+        self.timings: dict[Key, TimingTotals] = {}
+
+    async def start(self) -> None:
+        """Open the socket to statsd, if a host is set."""
+        if self.host:
+            self.client = statsd.StatsClient(
+                self.host,
+                self.port,
+                prefix=self.prefix,
+                maxudpsize=MAX_DATAGRAM_BYTES,
+            )
+
+    def count(self, spec: MetricSpec, value: int = 1, group: str = "") -> None:
+        """Add to a counter.
+
+        Args:
+          spec: The metric.
+          value: How much to add.
+          group: The database group, for metrics that are kept per group.
+        """
+        self.counters[spec, group] += value
+        self.unsent[spec, group] += value
+
+    def gauge(self, spec: MetricSpec, value: float, group: str = "") -> None:
+        """Set a gauge.
+
+        Args:
+          spec: The metric.
+          value: The present value.
+          group: The database group, for metrics that are kept per group.
+        """
+        key = (spec, group)
+        if self.gauges.get(key) != value:
+            self.gauges[key] = value
+            self.changed_gauges.add(key)
+
+    def timing(self, spec: MetricSpec, seconds: float, group: str = "") -> None:
+        """Add a duration.
+
+        Args:
+          spec: The metric.
+          seconds: The duration in seconds.
+          group: The database group, for metrics that are kept per group.
+        """
+        totals = self.timings.setdefault((spec, group), TimingTotals())
+        totals.add(seconds * MILLISECONDS_PER_SECOND)
+
+    async def flush(self, now: float) -> None:
+        """Send what changed since the last call; a timer's callback.
+
+        Args:
+          now: The timer's time; not used.
+        """
+        del now
+        if self.client:
+            with self.client.pipeline() as pipeline:
+                self.send(pipeline)
+        self.unsent.clear()
+        self.changed_gauges.clear()
+        for totals in self.timings.values():
+            totals.samples.clear()
+
+    def send(self, pipeline: "statsd.client.base.PipelineBase") -> None:
+        """Write what changed into datagrams.
+
+        Args:
+          pipeline: The statsd client's pipeline.
+        """
+        for key, value in self.unsent.items():
+            pipeline.incr(metric_path(key), value)
+        for key in self.changed_gauges:
+            pipeline.gauge(metric_path(key), self.gauges[key])
+        for key, totals in self.timings.items():
+            for sample in totals.samples:
+                pipeline.timing(metric_path(key), sample)
+
+    def snapshot(self) -> dict[str, float]:
+        """Return every value since the start, by its path."""
+        values: dict[str, float] = {}
+        for key, count in self.counters.items():
+            values[metric_path(key)] = count
+        for key, gauge in self.gauges.items():
+            values[metric_path(key)] = gauge
+        for key, totals in self.timings.items():
+            path = metric_path(key)
+            values[f"{path}.count"] = totals.count
+            values[f"{path}.mean"] = totals.total_ms / totals.count
+            values[f"{path}.max"] = totals.max_ms
+        return dict(sorted(values.items()))
+
+    async def close(self) -> None:
+        """Send the rest and close the socket."""
+        await self.flush(0.0)
+        if self.client:
+            self.client.close()
+            self.client = None
+
+
+def metric_path(key: Key) -> str:
+    """Return a metric's name below the prefix.
+
+    Args:
+      key: The metric and its group, if any.
+    """
+    spec, group = key
+    if not group:
+        return spec.name
+    return f"{spec.name}.{UNSAFE_CHARACTERS.sub('_', group)}"
