--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/config/peer_records.py
@@ -0,0 +1,61 @@
+"""The form in which proxies pass changes to each other."""
+
+import base64
+import json
+
+from jackdawcrank.config.snapshot import decode_snapshot, encode_snapshot
+from jackdawcrank.store.change_codec import decode_change, encode_change
+from jackdawcrank_policy.configuration import (
+    Change,
+    Configuration,
+    ConfigurationState,
+)
+
+Learned = Change | Configuration
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
+
+def peer_records(
+    state: ConfigurationState, after: int, limit: int
+) -> tuple[int, tuple[bytes, ...]]:
+    """Return what a peer that is at a version lacks.
+
+    Args:
+      state: The configuration in force here.
+      after: The peer's version.
+      limit: The most records to return.
+
+    Returns:
+      The version of the first record, 0 for none, and the records: changes
+      in order or, where some were forgotten, the whole configuration.
+    """
+    if after >= state.version:
+        return 0, ()
+    changes = state.changes_after(after)
+    if changes is None:
+        return state.version, (snapshot_record(state.current),)
+    records = tuple(change_record(change) for change in changes[:limit])
+    return after + 1, records
+
+
+def change_record(change: Change) -> bytes:
+    """Return a change as JSON."""
+    record = {"version": change.version, "change": encode_change(change)}
+    return json.dumps(record, separators=(",", ":")).encode()
+
+
+def snapshot_record(configuration: Configuration) -> bytes:
+    """Return a whole configuration as JSON."""
+    data = base64.b64encode(encode_snapshot(configuration)).decode()
+    return json.dumps({"snapshot": data}).encode()
+
+
+def learned_from(record: bytes) -> Learned | None:
+    """Return what a peer's record holds; None if it is malformed."""
+    try:
+        document = json.loads(record)
+        if "snapshot" in document:
+            return decode_snapshot(base64.b64decode(document["snapshot"]))
+        return decode_change(int(document["version"]), document["change"])
+    except MALFORMED:
+        return None
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/membership/tracker.py
@@ -0,0 +1,188 @@
+"""Keeps this VM's view of the membership."""
+
+import random
+import uuid
+from collections.abc import Callable
+
+from jackdawcrank.membership import intervals
+from jackdawcrank.membership.lease_row import (
+    decode_lease_row,
+    encode_lease_row,
+)
+from jackdawcrank.store.client import StoreClient
+from jackdawcrank.store.outcome import Absent, Row, StoreUnavailable
+from jackdawcrank.store.transaction import RowDelete, RowPut, Transaction
+from jackdawcrank.timer import Subscription, TickCallback, Timer
+from jackdawcrank_policy.membership import (
+    LeaseReading,
+    Membership,
+    MembershipView,
+)
+from jackdawcrank_policy.values import Vm
+
+OnView = Callable[[MembershipView], None]
+TABLE = "vms"
+
+
+class MembershipTracker:
+    """Renews this VM's lease row and gathers evidence on the others.
+
+    Attributes:
+      membership: The evidence.
+      view: The newest view.
+      boot: The id of this process.
+      counter: How often the lease row was renewed.
+      page_after: Where the next page of lease rows begins.
+      list_due: When the VM list is to be read again.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        timer: Timer,
+        own: Vm,
+        boot: str,
+        on_view: OnView = lambda view: None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Make a tracker; `start` begins its work.
+
+        Args:
+          store: The store.
+          timer: Calls back, and tells the monotonic time.
+          own: This VM.
+          boot: The id of this process.
+          on_view: Called with each view that differs from the one before.
+          rng: The source of jitter.
+        """
+        self.store = store
+        self.timer = timer
+        self.own = own
+        self.boot = boot
+        self.on_view = on_view
+        self.rng = rng or random.Random()
+        self.membership = Membership(own)
+        self.view = MembershipView((own.name,), (), {own.name: own})
+        self.counter = 0
+        self.page_after = ""
+        self.list_due = 0.0
+        self.subscriptions: list[Subscription] = []
+
+    async def start(self) -> None:
+        """Write the lease row, read the others' and begin to track."""
+        await self.renew(self.timer.now())
+        await self.read_list(self.timer.now())
+        await self.read_page(self.timer.now())
+        self.subscribe("vm lease", intervals.LEASE_RENEW_SECONDS, self.renew)
+        self.subscribe("vm list", intervals.MIN_LIST_SECONDS, self.read_list)
+        self.subscribe("vm page", intervals.PAGE_READ_SECONDS, self.read_page)
+        self.subscribe(
+            "vm suspects", intervals.SUSPECT_READ_SECONDS, self.read_suspects
+        )
+        self.subscribe("vm view", intervals.EVALUATE_SECONDS, self.evaluate)
+        await self.evaluate(self.timer.now())
+
+    async def close(self) -> None:
+        """Stop tracking and remove the lease row."""
+        for subscription in self.subscriptions:
+            subscription.close()
+        removal = Transaction(deletes=(RowDelete(TABLE, self.own.name),))
+        await self.store.transact(removal)
+
+    def subscribe(
+        self, name: str, interval_seconds: float, callback: TickCallback
+    ) -> None:
+        """Have a step of the work done at intervals with jitter."""
+        subscription = self.timer.subscribe(
+            name,
+            interval_seconds,
+            callback,
+            intervals.JITTER_FRACTION,
+            self.rng,
+        )
+        self.subscriptions.append(subscription)
+
+    def heard(self, name: str, vm: Vm | None = None) -> None:
+        """Take in that a stream carried something from a VM."""
+        self.membership.heard(name, vm, self.timer.now())
+
+    def stream_failed(self, name: str) -> None:
+        """Take in that a stream to a VM broke or could not be opened."""
+        self.membership.stream_failed(name, self.timer.now())
+
+    def announced_leaving(self, name: str) -> None:
+        """Take in that a VM says it is leaving."""
+        self.membership.announced_leaving(name)
+        self.publish(self.timer.now())
+
+    async def leave(self) -> None:
+        """Say that this VM is leaving."""
+        self.membership.leaving = True
+        self.publish(self.timer.now())
+        await self.renew(self.timer.now())
+
+    async def renew(self, now: float) -> None:
+        """Renew the lease row."""
+        self.counter += 1
+        reading = LeaseReading(
+            self.own.name,
+            self.boot,
+            self.counter,
+            intervals.LEASE_SECONDS,
+            self.membership.leaving,
+        )
+        value = encode_lease_row(reading, self.own, uuid.uuid4().hex)
+        put = RowPut(TABLE, self.own.name, value)
+        await self.store.transact(Transaction(puts=(put,)))
+
+    async def read_list(self, now: float) -> None:
+        """Read the platform's VM list, less often the longer it is."""
+        if now < self.list_due:
+            return
+        vms = await self.store.list_vms()
+        if isinstance(vms, StoreUnavailable):
+            return
+        self.membership.listed(vms)
+        interval = intervals.list_interval_seconds(len(vms))
+        self.list_due = now + interval - intervals.MIN_LIST_SECONDS / 2
+
+    async def read_page(self, now: float) -> None:
+        """Read the next page of lease rows, round and round."""
+        page = await self.store.scan(
+            TABLE, self.page_after, intervals.PAGE_ROWS
+        )
+        if isinstance(page, StoreUnavailable):
+            return
+        for row in page.rows:
+            self.take(row, now)
+        self.page_after = page.rows[-1].key if page.more else ""
+        self.membership.forget(now)
+
+    async def read_suspects(self, now: float) -> None:
+        """Read the lease rows of some VMs whose streams fail."""
+        suspects = self.membership.suspects()
+        count = min(len(suspects), intervals.SUSPECTS_PER_READ)
+        for name in self.rng.sample(suspects, count):
+            sent_at = self.timer.now()
+            row = await self.store.get(TABLE, name)
+            if isinstance(row, Row):
+                self.take(row, sent_at)
+            elif isinstance(row, Absent):
+                self.membership.lease_missing(name)
+
+    def take(self, row: Row, now: float) -> None:
+        """Take in another VM's lease row."""
+        lease = decode_lease_row(row.key, row.value)
+        if lease is not None and row.key != self.own.name:
+            self.membership.lease_read(lease.reading, lease.vm, now)
+
+    async def evaluate(self, now: float) -> None:
+        """Work out the view again."""
+        self.publish(now)
+
+    def publish(self, now: float) -> None:
+        """Tell the listener if the view has changed."""
+        view = self.membership.view(now)
+        if view != self.view:
+            self.view = view
+            self.on_view(view)
