Add multiplexed streams between proxies

Statements, lease acknowledgements and configuration travel between VMs. One stream a pair, proven by HMAC both ways, requests matched by number; a request is called not sent only if no byte was handed to a connection or the peer says that no handler saw it.

--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/backoff.py
@@ -0,0 +1,47 @@
+"""The pause between attempts to reach a peer."""
+
+import random
+
+import attrs
+
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 3.0
+
+
+@attrs.define
+class Backoff:
+    """Doubles the pause after each failure, with jitter.
+
+    Attributes:
+      rng: Where the jitter comes from.
+      failures: The failures since the last success.
+      next_attempt_at: When the next attempt is allowed.
+    """
+
+    rng: random.Random
+    failures: int = 0
+    next_attempt_at: float = 0.0
+
+    def allows(self, now: float) -> bool:
+        """Return whether an attempt may be made.
+
+        Args:
+          now: Seconds on a monotonic clock.
+        """
+        return now >= self.next_attempt_at
+
+    def failed(self, now: float) -> None:
+        """Note a failed attempt.
+
+        Args:
+          now: Seconds on a monotonic clock.
+        """
+        exponent = min(self.failures, 10)
+        pause = min(MAX_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2**exponent)
+        self.failures += 1
+        self.next_attempt_at = now + pause * self.rng.uniform(0.5, 1.0)
+
+    def succeeded(self) -> None:
+        """Note a successful attempt."""
+        self.failures = 0
+        self.next_attempt_at = 0.0
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/chunk_sender.py
@@ -0,0 +1,91 @@
+"""Sending of one large result."""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from jackdawcrank.peers.outbox import Outbox
+from jackdawcrank.peers.pending_request import WINDOW_CHUNKS
+from jackdawcrank.peers.split_rows import split_rows
+from jackdawcrank.peers.streamed_result import StreamedResult
+from jackdawcrank_wire.messages import (
+    Answer,
+    AnswerEnd,
+    ResultError,
+    ResultRows,
+    Rows,
+    RowsChunk,
+)
+
+
+class ChunkSender:
+    """Sends a result in parts, no faster than its receiver reads them."""
+
+    def __init__(self, number: int, outbox: Outbox) -> None:
+        self.number = number
+        self.outbox = outbox
+        self.row_count = 0
+        self.credit = asyncio.Semaphore(WINDOW_CHUNKS)
+
+    def add_credit(self, chunks: int) -> None:
+        """Allow more parts to be sent.
+
+        Args:
+          chunks: How many.
+        """
+        for _ in range(min(chunks, WINDOW_CHUNKS)):
+            self.credit.release()
+
+    async def send(self, answer: StreamedResult) -> bool:
+        """Send a result and its end.
+
+        Args:
+          answer: The first part and the way to the others.
+
+        Returns:
+          False if a part could not be sent.
+        """
+        result = answer.first.result
+        assert isinstance(result, ResultRows)
+        parts = split_rows(result.rows)
+        head = attrs.evolve(result, rows=next(parts, ()), complete=False)
+        if not await self.outbox.send(Answer(self.number, head)):
+            return False
+        self.row_count = len(head.rows)
+        if not await self.send_parts(parts):
+            return False
+        async for rows in answer.chunks:
+            if isinstance(rows, ResultError):
+                return await self.end(rows)
+            if not await self.send_parts(split_rows(rows)):
+                return False
+        return await self.end(None)
+
+    async def send_parts(self, parts: collections.abc.Iterable[Rows]) -> bool:
+        """Send parts as the receiver allows them.
+
+        Args:
+          parts: The rows.
+
+        Returns:
+          False if a part could not be sent.
+        """
+        for part in parts:
+            await self.credit.acquire()
+            if not await self.outbox.send(RowsChunk(self.number, part)):
+                return False
+            self.row_count += len(part)
+        return True
+
+    async def end(self, error: ResultError | None) -> bool:
+        """Send the end of a result.
+
+        Args:
+          error: Why it broke off; None if it is whole.
+
+        Returns:
+          False if it could not be sent.
+        """
+        end = AnswerEnd(self.number, self.row_count, error)
+        return await self.outbox.send(end)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/connector.py
@@ -0,0 +1,104 @@
+"""Opening of connections to peers."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+from jackdawcrank.peers.handshake import (
+    Handshake,
+    HandshakeFailed,
+    NonceSource,
+    ProvenPeer,
+)
+from jackdawcrank.peers.peer_connection import PeerConnection
+from jackdawcrank.peers.peer_identity import PeerIdentity
+from jackdawcrank_wire.codec import Codec
+from jackdawcrank_wire.framing import FrameReader, FrameWriter
+
+CONNECT_SECONDS = 1.0
+
+Prove = collections.abc.Callable[
+    [Handshake],
+    collections.abc.Coroutine[None, None, ProvenPeer | HandshakeFailed],
+]
+
+
+class Connector:
+    """Makes proven connections, dialed or accepted."""
+
+    def __init__(
+        self, identity: PeerIdentity, codec: Codec, nonce_source: NonceSource
+    ) -> None:
+        self.identity = identity
+        self.codec = codec
+        self.nonce_source = nonce_source
+
+    async def dial(
+        self, vm: str, host: str, port: int
+    ) -> PeerConnection | HandshakeFailed:
+        """Connect to a VM.
+
+        Args:
+          vm: The VM.
+          host: Its IP address.
+          port: Its peer port.
+        """
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                streams = await asyncio.open_connection(host, port)
+        except (TimeoutError, OSError) as error:
+            return HandshakeFailed(f"no connection: {type(error).__name__}")
+        return await self.prove(*streams, lambda shake: shake.dial(vm), True)
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> PeerConnection | HandshakeFailed:
+        """Prove a connection that was accepted.
+
+        Args:
+          reader: The connection's reader.
+          writer: The connection's writer.
+        """
+        return await self.prove(
+            reader, writer, lambda shake: shake.accept(), False
+        )
+
+    async def prove(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        run: Prove,
+        dialed: bool,
+    ) -> PeerConnection | HandshakeFailed:
+        """Run the handshake; the connection is closed if it fails.
+
+        Args:
+          reader: The connection's reader.
+          writer: The connection's writer.
+          run: Runs this end's side.
+          dialed: Whether this end opened the connection.
+        """
+        frame_reader = FrameReader(reader)
+        frame_writer = FrameWriter(writer)
+        shake = Handshake(
+            self.identity,
+            frame_reader,
+            frame_writer,
+            self.codec,
+            self.nonce_source,
+        )
+        peer: ProvenPeer | HandshakeFailed = HandshakeFailed("cancelled")
+        with contextlib.ExitStack() as stack:
+            stack.callback(frame_writer.abort)
+            peer = await run(shake)
+            if isinstance(peer, HandshakeFailed):
+                return peer
+            stack.pop_all()
+        return PeerConnection(
+            self.identity.vm,
+            peer,
+            frame_reader,
+            frame_writer,
+            self.codec,
+            dialed,
+        )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/incoming_requests.py
@@ -0,0 +1,234 @@
+"""The requests of a peer that are being handled."""
+
+import asyncio
+import collections.abc
+import typing
+
+import attrs
+from absl import logging
+
+from jackdawcrank.peers.chunk_sender import ChunkSender
+from jackdawcrank.peers.outbox import Outbox
+from jackdawcrank.peers.peer_handlers import (
+    PeerAnswer,
+    PeerHandler,
+    PeerHandlers,
+)
+from jackdawcrank.peers.request_types import Request, RequestAnswer, is_request
+from jackdawcrank.peers.split_rows import CHUNK_BYTES, row_size
+from jackdawcrank.peers.streamed_result import StreamedResult
+from jackdawcrank_wire.codec.envelope import MESSAGE_NUMBERS
+from jackdawcrank_wire.messages import (
+    Answer,
+    Message,
+    RefusalReason,
+    Refused,
+    RequestFailed,
+    ResultRows,
+    Rows,
+)
+
+MAX_INCOMING = 1024
+TOO_LARGE = "the answer is too large"
+
+
+class IncomingRequests:
+    """Runs the handlers of one stream's messages, each in a task."""
+
+    def __init__(self, vm: str, handlers: PeerHandlers, outbox: Outbox) -> None:
+        self.vm = vm
+        self.handlers = handlers
+        self.outbox = outbox
+        self.last_number = 0
+        self.closing = False
+        self.by_number: dict[int, asyncio.Task[None]] = {}
+        self.senders: dict[int, ChunkSender] = {}
+        self.notices: set[asyncio.Task[PeerAnswer]] = set()
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def __len__(self) -> int:
+        return len(self.by_number)
+
+    def begin(self, message: Message) -> None:
+        """Start the handler of a message.
+
+        Args:
+          message: The message.
+        """
+        handler = self.handlers.find(type(message))
+        if is_request(message):
+            self.begin_request(message, handler)
+        elif handler is not None:
+            self.begin_notice(message, handler)
+
+    def begin_notice(self, message: Message, handler: PeerHandler) -> None:
+        """Start the handler of a message that has no answer.
+
+        Such messages are hints; beyond the bound they are dropped.
+
+        Args:
+          message: The message.
+          handler: Its handler.
+        """
+        if len(self.notices) >= MAX_INCOMING:
+            return
+        task = asyncio.ensure_future(handler(self.vm, message))
+        self.notices.add(task)
+        task.add_done_callback(self.end_notice)
+
+    def end_notice(self, task: asyncio.Task[PeerAnswer]) -> None:
+        """Forget a handler and log what it raised.
+
+        Args:
+          task: The handler's task.
+        """
+        self.notices.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            logging.error("peer handler failed", exc_info=error)
+
+    def begin_request(
+        self, request: Request, handler: PeerHandler | None
+    ) -> None:
+        """Start the handler of a request, or refuse it.
+
+        A number that is not above the last one is a duplicate and dropped.
+
+        Args:
+          request: The request.
+          handler: Its handler, if there is one.
+        """
+        number = request.request_number
+        if number <= self.last_number:
+            return
+        self.last_number = number
+        if self.closing:
+            self.refuse(request, RefusalReason.SHUTTING_DOWN)
+        elif handler is None:
+            self.refuse(request, RefusalReason.UNSUPPORTED)
+        elif len(self.by_number) >= MAX_INCOMING:
+            self.refuse(request, RefusalReason.OVERLOADED)
+        else:
+            self.idle.clear()
+            task = asyncio.ensure_future(self.run(request, handler))
+            self.by_number[number] = task
+            task.add_done_callback(lambda _: self.end(number))
+
+    def refuse(self, request: Request, reason: RefusalReason) -> None:
+        """Say that no handler sees a request.
+
+        Args:
+          request: The request.
+          reason: Why.
+        """
+        number = MESSAGE_NUMBERS[type(request)]
+        self.outbox.post(Refused(request.request_number, reason, number))
+
+    async def run(self, request: Request, handler: PeerHandler) -> None:
+        """Run a handler and send its answer.
+
+        Args:
+          request: The request.
+          handler: Its handler.
+        """
+        number = request.request_number
+        try:
+            answer = await handler(self.vm, request)
+            await self.send_answer(number, answer)
+        except Exception:
+            logging.exception("peer handler failed")
+            self.outbox.post(RequestFailed(number, "the handler failed"))
+
+    def end(self, number: int) -> None:
+        """Forget a request that was answered or cancelled.
+
+        Args:
+          number: The request's number.
+        """
+        self.by_number.pop(number, None)
+        self.senders.pop(number, None)
+        if not self.by_number:
+            self.idle.set()
+
+    async def send_answer(self, number: int, answer: PeerAnswer) -> None:
+        """Send an answer, in parts if it is large.
+
+        Args:
+          number: The request's number.
+          answer: The answer; its own request number is not looked at.
+        """
+        if is_large(answer):
+            answer = StreamedResult(answer, no_more_rows())
+        if isinstance(answer, StreamedResult):
+            await self.send_parts(number, answer)
+        elif isinstance(answer, RequestAnswer):
+            await self.send_whole(attrs.evolve(answer, request_number=number))
+        else:
+            self.outbox.post(RequestFailed(number, "the handler has no answer"))
+
+    async def send_whole(self, answer: RequestAnswer) -> None:
+        """Send an answer in one piece.
+
+        Args:
+          answer: The answer.
+        """
+        if not await self.outbox.send(answer):
+            self.outbox.post(RequestFailed(answer.request_number, TOO_LARGE))
+
+    async def send_parts(self, number: int, answer: StreamedResult) -> None:
+        """Send an answer in parts.
+
+        Args:
+          number: The request's number.
+          answer: The answer.
+        """
+        sender = ChunkSender(number, self.outbox)
+        self.senders[number] = sender
+        if not await sender.send(answer):
+            self.outbox.post(RequestFailed(number, TOO_LARGE))
+
+    def add_credit(self, number: int, chunks: int) -> None:
+        """Allow more parts of an answer to be sent.
+
+        Args:
+          number: The request's number.
+          chunks: How many.
+        """
+        if number in self.senders:
+            self.senders[number].add_credit(chunks)
+
+    def cancel(self, number: int) -> None:
+        """Cancel the handler of a request that nobody waits for.
+
+        Args:
+          number: The request's number.
+        """
+        if number in self.by_number:
+            self.by_number[number].cancel()
+
+    async def close(self) -> None:
+        """Cancel every handler and wait until they have ended."""
+        tasks = [*self.by_number.values(), *self.notices]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def is_large(answer: PeerAnswer) -> typing.TypeGuard[Answer]:
+    """Return whether an answer is sent in parts.
+
+    Args:
+      answer: The answer.
+    """
+    if not isinstance(answer, Answer):
+        return False
+    if not isinstance(answer.result, ResultRows):
+        return False
+    return sum(map(row_size, answer.result.rows)) > CHUNK_BYTES
+
+
+async def no_more_rows() -> collections.abc.AsyncIterator[Rows]:
+    """Yield nothing."""
+    nothing: tuple[Rows, ...] = ()
+    for rows in nothing:
+        yield rows
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_links.py
@@ -0,0 +1,305 @@
+"""The streams to all other proxies."""
+
+import asyncio
+import collections.abc
+import random
+import secrets
+
+from jackdawcrank.peers.backoff import Backoff
+from jackdawcrank.peers.connector import Connector
+from jackdawcrank.peers.handshake import HandshakeFailed, NonceSource
+from jackdawcrank.peers.peer_connection import PeerConnection
+from jackdawcrank.peers.peer_handlers import PeerHandlers
+from jackdawcrank.peers.peer_identity import PeerIdentity
+from jackdawcrank.peers.peer_stream import PeerReply, PeerStream
+from jackdawcrank.peers.peer_unreachable import PeerUnreachable
+from jackdawcrank.peers.request_types import Request
+from jackdawcrank.peers.streamed_answer import StreamedAnswer
+from jackdawcrank.timer import Subscription, Timer
+from jackdawcrank_wire.codec import Codec, MsgpackCodec
+from jackdawcrank_wire.messages import Hello, Message
+
+MAX_RESULT_BYTES = 64 * 1024 * 1024
+MAX_ATTEMPTS = 2
+IDLE_CLOSE_SECONDS = 60.0
+SWEEP_INTERVAL_SECONDS = 10.0
+NOTIFY_SECONDS = 2.0
+
+Address = tuple[str, int]
+LostCallback = collections.abc.Callable[[str, str], None]
+
+
+class PeerLinks:
+    """Keeps at most one stream in use for each peer.
+
+    A stream is dialed when it is first needed, or taken over when the peer
+    has dialed. Where both dial at once, both prefer the stream that the VM
+    with the lower name dialed; the other one ends when it is idle.
+
+    Attributes:
+      lost_callbacks: Called with a VM and a reason when the stream to it is
+        lost.
+      config_version: The configuration version told to peers on connect.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        boot: str,
+        secret: bytes,
+        handlers: PeerHandlers | None = None,
+        codec: Codec | None = None,
+        rng: random.Random | None = None,
+        nonce_source: NonceSource = secrets.token_bytes,
+    ) -> None:
+        self.vm = vm
+        self.boot = boot
+        self.handlers = handlers or PeerHandlers()
+        self.rng = rng or random.Random()
+        self.connector = Connector(
+            PeerIdentity(vm, boot, secret),
+            codec or MsgpackCodec(),
+            nonce_source,
+        )
+        self.addresses: dict[str, Address] = {}
+        self.streams: dict[str, PeerStream] = {}
+        self.all_streams: set[PeerStream] = set()
+        self.dials: dict[str, asyncio.Task[PeerStream | PeerUnreachable]] = {}
+        self.backoffs: dict[str, Backoff] = {}
+        self.lost_callbacks: list[LostCallback] = []
+        self.closings: set[asyncio.Task[None]] = set()
+        self.subscription: Subscription | None = None
+        self.config_version = 0
+        self.closed = False
+
+    async def start(self, timer: Timer) -> None:
+        """Begin to close streams that are idle.
+
+        Args:
+          timer: The timer.
+        """
+        self.subscription = timer.subscribe(
+            "idle peer streams", SWEEP_INTERVAL_SECONDS, self.close_idle
+        )
+
+    def set_addresses(
+        self, addresses: collections.abc.Mapping[str, Address]
+    ) -> None:
+        """Replace the peers' addresses; streams in use go on.
+
+        Args:
+          addresses: Each VM's IP address and peer port.
+        """
+        for vm, address in addresses.items():
+            if self.addresses.get(vm) != address:
+                self.backoffs.pop(vm, None)
+        self.addresses = dict(addresses)
+
+    def connected(self) -> list[str]:
+        """Return the VMs to which a usable stream is open."""
+        return sorted(
+            vm for vm, stream in self.streams.items() if stream.usable
+        )
+
+    async def request(
+        self, vm: str, message: Request, timeout: float
+    ) -> Message | PeerUnreachable:
+        """Send a request and return the whole answer.
+
+        Args:
+          vm: The VM to ask.
+          message: The request; its number is filled in.
+          timeout: When to give up, in seconds from now.
+        """
+        reply = await self.open_answer(vm, message, timeout)
+        if isinstance(reply, StreamedAnswer):
+            return await reply.collect(MAX_RESULT_BYTES)
+        return reply
+
+    async def open_answer(
+        self, vm: str, message: Request, timeout: float
+    ) -> PeerReply:
+        """Send a request and return its answer, a large one in parts.
+
+        A request that certainly reached no handler because the stream ended
+        is sent again on a new one.
+
+        Args:
+          vm: The VM to ask.
+          message: The request; its number is filled in.
+          timeout: When to give up, in seconds from now.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout
+        reply: PeerReply = PeerUnreachable(vm, False, "not tried")
+        for _ in range(MAX_ATTEMPTS):
+            stream = await self.stream_to(vm, deadline)
+            if isinstance(stream, PeerUnreachable):
+                return stream
+            reply = await stream.request(message, deadline)
+            if stream.usable or not is_unsent(reply):
+                return reply
+        return reply
+
+    async def notify(
+        self, vm: str, message: Message, timeout: float = NOTIFY_SECONDS
+    ) -> bool:
+        """Send a message that has no answer.
+
+        Args:
+          vm: The VM to tell.
+          message: The message.
+          timeout: When to give up, in seconds from now.
+
+        Returns:
+          Whether it was handed to a connection.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout
+        for _ in range(MAX_ATTEMPTS):
+            stream = await self.stream_to(vm, deadline)
+            if isinstance(stream, PeerUnreachable):
+                return False
+            if await stream.notify(message, deadline):
+                return True
+            if stream.usable:
+                return False
+        return False
+
+    def broadcast(self, message: Message) -> None:
+        """Send a short message to every peer with an open stream.
+
+        Args:
+          message: The message; it has no answer.
+        """
+        for stream in self.streams.values():
+            if stream.usable:
+                stream.post(message)
+
+    async def stream_to(
+        self, vm: str, deadline: float
+    ) -> PeerStream | PeerUnreachable:
+        """Return a usable stream to a VM, dialing if there is none.
+
+        Args:
+          vm: The VM.
+          deadline: When to give up, on the event loop's clock.
+        """
+        stream = self.streams.get(vm)
+        if stream is not None and stream.usable:
+            return stream
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await asyncio.shield(self.dialing(vm))
+        except TimeoutError:
+            return PeerUnreachable(vm, False, "no connection in time")
+
+    def dialing(self, vm: str) -> asyncio.Task[PeerStream | PeerUnreachable]:
+        """Return the dialing of a VM, which all who need it share.
+
+        Args:
+          vm: The VM.
+        """
+        task = self.dials.get(vm)
+        if task is None:
+            task = asyncio.create_task(self.dial(vm))
+            self.dials[vm] = task
+            task.add_done_callback(lambda _: self.dials.pop(vm, None))
+        return task
+
+    async def dial(self, vm: str) -> PeerStream | PeerUnreachable:
+        """Open a stream to a VM unless it failed a short time ago.
+
+        Args:
+          vm: The VM.
+        """
+        now = asyncio.get_running_loop().time()
+        backoff = self.backoffs.setdefault(vm, Backoff(self.rng))
+        address = self.addresses.get(vm)
+        if self.closed or address is None or vm == self.vm:
+            return PeerUnreachable(vm, False, "no address")
+        if not backoff.allows(now):
+            return PeerUnreachable(vm, False, "failed a short time ago")
+        connection = await self.connector.dial(vm, *address)
+        if isinstance(connection, HandshakeFailed):
+            backoff.failed(asyncio.get_running_loop().time())
+            return PeerUnreachable(vm, False, connection.detail)
+        backoff.succeeded()
+        return await self.adopt(connection)
+
+    async def adopt(self, connection: PeerConnection) -> PeerStream:
+        """Run a stream on a proven connection.
+
+        Args:
+          connection: The connection, dialed or accepted.
+        """
+        stream = PeerStream(connection, self.handlers, self.forget)
+        self.all_streams.add(stream)
+        if self.prefers(stream):
+            self.streams[stream.vm] = stream
+        stream.post(
+            Hello(self.vm, self.boot, config_version=self.config_version)
+        )
+        await stream.start()
+        return stream
+
+    def prefers(self, stream: PeerStream) -> bool:
+        """Return whether a new stream replaces the one in use.
+
+        Args:
+          stream: The new stream.
+        """
+        current = self.streams.get(stream.vm)
+        if current is None or not current.usable:
+            return True
+        if current.connection.peer.boot != stream.connection.peer.boot:
+            return True
+        preferred = min(self.vm, stream.vm)
+        return (
+            stream.connection.dialer == preferred
+            or current.connection.dialer != preferred
+        )
+
+    def forget(self, stream: PeerStream, detail: str) -> None:
+        """Use a lost stream no more.
+
+        Args:
+          stream: The stream.
+          detail: Why it was lost.
+        """
+        self.all_streams.discard(stream)
+        if self.streams.get(stream.vm) is stream:
+            del self.streams[stream.vm]
+            for callback in self.lost_callbacks:
+                callback(stream.vm, detail)
+
+    async def close_idle(self, now: float) -> None:
+        """Close the streams that were not used for a while.
+
+        Args:
+          now: The timer's time; not used, since streams keep the loop's time.
+        """
+        del now
+        limit = asyncio.get_running_loop().time() - IDLE_CLOSE_SECONDS
+        for stream in list(self.all_streams):
+            if stream.used_at < limit and not stream.busy:
+                task = asyncio.create_task(stream.close())
+                self.closings.add(task)
+                task.add_done_callback(self.closings.discard)
+
+    async def close(self) -> None:
+        """Answer what peers have asked, then close every stream."""
+        self.closed = True
+        if self.subscription:
+            self.subscription.close()
+        for dial in list(self.dials.values()):
+            dial.cancel()
+        closings = [stream.close() for stream in self.all_streams]
+        await asyncio.gather(*closings, *self.closings)
+
+
+def is_unsent(reply: PeerReply) -> bool:
+    """Return whether a request certainly reached no handler.
+
+    Args:
+      reply: What became of it.
+    """
+    return isinstance(reply, PeerUnreachable) and not reply.sent
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_server.py
@@ -0,0 +1,97 @@
+"""The port that other proxies connect to."""
+
+import asyncio
+
+from absl import logging
+
+from jackdawcrank.peers.handshake import HandshakeFailed
+from jackdawcrank.peers.peer_handlers import PeerHandlers
+from jackdawcrank.peers.peer_links import PeerLinks
+
+MAX_HANDSHAKES = 128
+
+
+class PeerServer:
+    """Accepts streams of peers that prove the shared secret."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        secret: bytes,
+        vm: str,
+        boot: str,
+        handlers: PeerHandlers,
+        links: PeerLinks | None = None,
+    ) -> None:
+        """Create the server; `start` opens the port.
+
+        Args:
+          host: The IP address to listen at.
+          port: The TCP port; 0 takes a free one.
+          secret: The secret that all proxies share.
+          vm: This VM.
+          boot: The id of this process.
+          handlers: The handlers of the peers' messages.
+          links: Takes accepted streams over, so that one stream carries both
+            ends' requests; left out, accepted streams serve the peer only.
+        """
+        self.host = host
+        self.port = port
+        self.links = links or PeerLinks(vm, boot, secret, handlers)
+        self.owns_links = links is None
+        self.server: asyncio.Server | None = None
+        self.handshakes: set[asyncio.Task[None]] = set()
+        self.refused = 0
+
+    async def start(self) -> None:
+        """Open the port; `port` then holds the number."""
+        self.server = await asyncio.start_server(
+            self.on_connection, self.host, self.port
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def on_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Begin the handshake of a connection, unless too many are going on.
+
+        Args:
+          reader: The connection's reader.
+          writer: The connection's writer.
+        """
+        if len(self.handshakes) >= MAX_HANDSHAKES:
+            self.refused += 1
+            writer.transport.abort()
+            return
+        task = asyncio.create_task(self.admit(reader, writer))
+        self.handshakes.add(task)
+        task.add_done_callback(self.handshakes.discard)
+
+    async def admit(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Run a connection's stream if its other end proves itself.
+
+        Args:
+          reader: The connection's reader.
+          writer: The connection's writer.
+        """
+        connection = await self.links.connector.accept(reader, writer)
+        if isinstance(connection, HandshakeFailed):
+            self.refused += 1
+            logging.warning("peer connection refused: %s", connection.detail)
+            return
+        await self.links.adopt(connection)
+
+    async def close(self) -> None:
+        """Close the port and, if they are its own, the streams."""
+        if self.server:
+            self.server.close()
+        for task in list(self.handshakes):
+            task.cancel()
+        await asyncio.gather(*self.handshakes, return_exceptions=True)
+        if self.owns_links:
+            await self.links.close()
+        if self.server:
+            await self.server.wait_closed()
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/pending_requests.py
@@ -0,0 +1,171 @@
+"""The requests of one stream that wait for answers."""
+
+import asyncio
+
+from jackdawcrank.peers.peer_unreachable import PeerUnreachable
+from jackdawcrank.peers.pending_request import PendingRequest
+from jackdawcrank.peers.request_types import ANSWER_TYPES, RequestAnswer
+from jackdawcrank_wire.messages import (
+    MESSAGE_TYPES,
+    Answer,
+    AnswerEnd,
+    Message,
+    Refused,
+    RequestFailed,
+    ResultRows,
+    Rows,
+)
+
+
+class PendingRequests:
+    """Brings each answer to the request that it belongs to.
+
+    An answer that comes late, twice or for no known request is dropped.
+    """
+
+    def __init__(self, vm: str) -> None:
+        self.vm = vm
+        self.by_number: dict[int, PendingRequest] = {}
+        self.last_number = 0
+        self.dropped = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def __len__(self) -> int:
+        return len(self.by_number)
+
+    def next_number(self) -> int:
+        """Return the number of the next request."""
+        self.last_number += 1
+        return self.last_number
+
+    def add(self, number: int, request_type: type[Message]) -> PendingRequest:
+        """Begin to wait for an answer.
+
+        Args:
+          number: The request's number.
+          request_type: The request's type.
+        """
+        first = asyncio.get_running_loop().create_future()
+        request = PendingRequest(number, request_type, first)
+        self.by_number[number] = request
+        self.idle.clear()
+        return request
+
+    def forget(self, number: int) -> None:
+        """Stop waiting; a later answer is dropped.
+
+        Args:
+          number: The request's number.
+        """
+        self.by_number.pop(number, None)
+        if not self.by_number:
+            self.idle.set()
+
+    def resolve(self, answer: RequestAnswer) -> bool:
+        """Hand an answer to its request.
+
+        Args:
+          answer: The answer.
+
+        Returns:
+          False if the answer is of a type that the request cannot have.
+        """
+        request = self.by_number.get(answer.request_number)
+        if request is None or request.first.done():
+            self.dropped += 1
+            return True
+        if ANSWER_TYPES[request.request_type] is not type(answer):
+            return False
+        if has_more(answer):
+            request.begin_chunks()
+        else:
+            self.forget(answer.request_number)
+        request.first.set_result(answer)
+        return True
+
+    def add_chunk(self, number: int, chunk: Rows | AnswerEnd) -> bool:
+        """Hand a part of a large answer to its request.
+
+        Args:
+          number: The request's number.
+          chunk: The part.
+
+        Returns:
+          False if the peer sent more than it was allowed to.
+        """
+        request = self.by_number.get(number)
+        if request is None or request.chunks is None:
+            self.dropped += 1
+            return True
+        if request.chunks.full():
+            return False
+        request.chunks.put_nowait(chunk)
+        if isinstance(chunk, AnswerEnd):
+            self.forget(number)
+        return True
+
+    def refuse(self, refusal: Refused) -> None:
+        """End a request that reached no handler.
+
+        Args:
+          refusal: What the peer said.
+        """
+        request = self.by_number.get(refusal.request_number)
+        if request is None or request.first.done():
+            self.dropped += 1
+            return
+        if MESSAGE_TYPES.get(refusal.message_number) is request.request_type:
+            self.end(request, sent=False, detail=str(refusal.reason))
+
+    def break_off(self, failure: RequestFailed) -> None:
+        """End a request whose handler broke down.
+
+        Args:
+          failure: What the peer said.
+        """
+        request = self.by_number.get(failure.request_number)
+        if request is not None:
+            self.end(request, sent=True, detail=failure.detail)
+
+    def refuse_above(self, last_number: int) -> None:
+        """End the requests that a closing peer will not handle.
+
+        Args:
+          last_number: The newest request that it handles.
+        """
+        for request in list(self.by_number.values()):
+            if request.number > last_number:
+                self.end(request, sent=False, detail="the peer is closing")
+
+    def lose_all(self, detail: str) -> None:
+        """End every request, since the stream is lost.
+
+        Args:
+          detail: What happened to the stream.
+        """
+        for request in list(self.by_number.values()):
+            self.end(request, sent=True, detail=detail)
+
+    def end(self, request: PendingRequest, *, sent: bool, detail: str) -> None:
+        """End one request without an answer.
+
+        Args:
+          request: The request.
+          sent: Whether it may have reached a handler.
+          detail: What happened.
+        """
+        self.forget(request.number)
+        request.fail(PeerUnreachable(self.vm, sent, detail))
+
+
+def has_more(answer: RequestAnswer) -> bool:
+    """Return whether further parts of an answer follow.
+
+    Args:
+      answer: The answer.
+    """
+    if not isinstance(answer, Answer):
+        return False
+    result = answer.result
+    return isinstance(result, ResultRows) and not result.complete
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/receive.py
@@ -0,0 +1,140 @@
+"""What a stream does with each message of its peer."""
+
+import functools
+import typing
+
+from jackdawcrank_wire.codec import Malformed
+from jackdawcrank_wire.messages import (
+    Answer,
+    AnswerEnd,
+    Cancel,
+    Challenge,
+    ChangesAnswer,
+    ChunkCredit,
+    Closing,
+    EvidenceAnswer,
+    LeaseGivenUp,
+    Message,
+    Ping,
+    Pong,
+    Proof,
+    RefusalReason,
+    Refused,
+    RequestFailed,
+    RowsChunk,
+)
+
+if typing.TYPE_CHECKING:
+    from jackdawcrank.peers.peer_stream import PeerStream
+
+
+@functools.singledispatch
+def receive(message: Message | Malformed, stream: "PeerStream") -> bool:
+    """Take a message in.
+
+    Args:
+      message: The message.
+      stream: The stream that it came on.
+
+    Returns:
+      False if the peer broke the protocol, so that the stream must end.
+    """
+    assert not isinstance(message, Malformed)
+    stream.incoming.begin(message)
+    stream.watch()
+    return True
+
+
+@receive.register(Malformed)
+def receive_malformed(message: Malformed, stream: "PeerStream") -> bool:
+    """Refuse a message of a newer version; anything else is an error."""
+    if not message.unknown_type:
+        return False
+    refused = Refused(
+        message.request_number,
+        RefusalReason.UNSUPPORTED,
+        message.unknown_type,
+    )
+    stream.post(refused)
+    return True
+
+
+@receive.register(Challenge)
+@receive.register(Proof)
+def receive_handshake(_: Challenge | Proof, __: "PeerStream") -> bool:
+    """Reject a message that belongs before the proof."""
+    return False
+
+
+@receive.register(Ping)
+def receive_ping(message: Ping, stream: "PeerStream") -> bool:
+    """Answer a ping."""
+    stream.post(Pong(message.number))
+    return True
+
+
+@receive.register(Pong)
+def receive_pong(_: Pong, stream: "PeerStream") -> bool:
+    """Note that the peer is there."""
+    stream.wake_pongs()
+    return True
+
+
+@receive.register(Answer)
+@receive.register(LeaseGivenUp)
+@receive.register(EvidenceAnswer)
+@receive.register(ChangesAnswer)
+def receive_answer(
+    message: Answer | LeaseGivenUp | EvidenceAnswer | ChangesAnswer,
+    stream: "PeerStream",
+) -> bool:
+    """Hand an answer to its request."""
+    return stream.pending.resolve(message)
+
+
+@receive.register(RowsChunk)
+def receive_chunk(message: RowsChunk, stream: "PeerStream") -> bool:
+    """Hand a part of a large answer to its request."""
+    return stream.pending.add_chunk(message.request_number, message.rows)
+
+
+@receive.register(AnswerEnd)
+def receive_end(message: AnswerEnd, stream: "PeerStream") -> bool:
+    """Hand the end of a large answer to its request."""
+    return stream.pending.add_chunk(message.request_number, message)
+
+
+@receive.register(Refused)
+def receive_refused(message: Refused, stream: "PeerStream") -> bool:
+    """End a request that reached no handler."""
+    stream.pending.refuse(message)
+    return True
+
+
+@receive.register(RequestFailed)
+def receive_failed(message: RequestFailed, stream: "PeerStream") -> bool:
+    """End a request whose handler broke down."""
+    stream.pending.break_off(message)
+    return True
+
+
+@receive.register(ChunkCredit)
+def receive_credit(message: ChunkCredit, stream: "PeerStream") -> bool:
+    """Allow more parts of a large answer to be sent."""
+    stream.incoming.add_credit(message.request_number, message.chunks)
+    return True
+
+
+@receive.register(Cancel)
+def receive_cancel(message: Cancel, stream: "PeerStream") -> bool:
+    """Cancel a handler whose answer nobody waits for."""
+    stream.incoming.cancel(message.request_number)
+    return True
+
+
+@receive.register(Closing)
+def receive_closing(message: Closing, stream: "PeerStream") -> bool:
+    """Send no more requests on this stream."""
+    stream.peer_closing = True
+    stream.pending.refuse_above(message.last_request_number)
+    return True
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/streamed_answer.py
@@ -0,0 +1,126 @@
+"""A large answer that is read in parts."""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from jackdawcrank.peers.peer_unreachable import PeerUnreachable
+from jackdawcrank.peers.pending_request import ChunkEvent, PendingRequest
+from jackdawcrank.peers.split_rows import row_size
+from jackdawcrank_wire.messages import (
+    Answer,
+    AnswerEnd,
+    ResultRows,
+    Rows,
+)
+
+TOO_LARGE = "the result is too large"
+
+Credit = collections.abc.Callable[[int], None]
+
+
+class StreamedAnswer:
+    """The first part of an answer and the way to the others.
+
+    Attributes:
+      first: The first part, with the columns.
+      end: How the answer ended; None until `chunks` is exhausted.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        first: Answer,
+        request: PendingRequest,
+        deadline: float,
+        credit: Credit,
+        abandon: collections.abc.Callable[[], None],
+    ) -> None:
+        self.vm = vm
+        self.first = first
+        self.request = request
+        self.deadline = deadline
+        self.credit = credit
+        self.abandon = abandon
+        self.end: AnswerEnd | PeerUnreachable | None = None
+        self.row_count = len(first_rows(first))
+
+    async def chunks(self) -> collections.abc.AsyncIterator[Rows]:
+        """Yield the further rows; then `end` says whether they are all."""
+        while self.end is None:
+            event = await self.next_event()
+            if isinstance(event, AnswerEnd):
+                self.end = self.checked(event)
+            elif isinstance(event, PeerUnreachable):
+                self.end = event
+            else:
+                self.row_count += len(event)
+                self.credit(1)
+                yield event
+
+    def close(self) -> None:
+        """Say that no further part is wanted."""
+        self.abandon()
+
+    async def next_event(self) -> ChunkEvent:
+        """Return the next part, or that none came before the deadline."""
+        if self.request.chunks is None:
+            return PeerUnreachable(self.vm, sent=True, detail="no parts")
+        try:
+            async with asyncio.timeout_at(self.deadline):
+                return await self.request.chunks.get()
+        except TimeoutError:
+            self.abandon()
+            return PeerUnreachable(self.vm, sent=True, detail="timeout")
+
+    def checked(self, end: AnswerEnd) -> AnswerEnd | PeerUnreachable:
+        """Return an end, or a failure if rows are missing before it.
+
+        Args:
+          end: What the peer sent.
+        """
+        if end.error is None and end.row_count != self.row_count:
+            return PeerUnreachable(self.vm, sent=True, detail="rows missing")
+        return end
+
+    async def collect(self, max_bytes: int) -> Answer | PeerUnreachable:
+        """Return the whole answer in one piece.
+
+        Args:
+          max_bytes: The most bytes of rows to keep in memory.
+        """
+        rows = list(first_rows(self.first))
+        size = sum(map(row_size, rows))
+        try:
+            async for chunk in self.chunks():
+                rows.extend(chunk)
+                size += sum(map(row_size, chunk))
+                if size > max_bytes:
+                    return PeerUnreachable(self.vm, True, TOO_LARGE)
+        finally:
+            self.close()
+        return self.joined(tuple(rows))
+
+    def joined(self, rows: Rows) -> Answer | PeerUnreachable:
+        """Return the answer with all its rows, or why it broke off.
+
+        Args:
+          rows: The rows that came.
+        """
+        if not isinstance(self.end, AnswerEnd):
+            return self.end or PeerUnreachable(self.vm, True, "broken off")
+        if self.end.error is not None:
+            return attrs.evolve(self.first, result=self.end.error)
+        assert isinstance(self.first.result, ResultRows)
+        whole = attrs.evolve(self.first.result, rows=rows, complete=True)
+        return attrs.evolve(self.first, result=whole)
+
+
+def first_rows(first: Answer) -> Rows:
+    """Return the rows in the first part of an answer.
+
+    Args:
+      first: The first part.
+    """
+    return first.result.rows if isinstance(first.result, ResultRows) else ()
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/codec/envelope.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/codec/envelope.py
@@ -57,6 +57,6 @@
     first = fields[0] if fields else 0
     return Malformed(
         f"message number {number} is not known",
-        unknown_type=True,
+        unknown_type=number,
         request_number=first if type(first) is int else 0,
     )
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/codec/malformed.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/codec/malformed.py
@@ -9,11 +9,11 @@
 
     Attributes:
       detail: What was wrong.
-      unknown_type: Whether the bytes are a message of a type that this
-        version does not know.
+      unknown_type: The number of a message type that this version does not
+        know; 0 if the bytes are no message at all.
       request_number: The request number of such a message; 0 if it has none.
     """
 
     detail: str
-    unknown_type: bool = False
+    unknown_type: int = 0
     request_number: int = 0
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/__init__.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/__init__.py
@@ -9,6 +9,7 @@
 from jackdawcrank_wire.messages.changes_answer import ChangesAnswer
 from jackdawcrank_wire.messages.changes_request import ChangesRequest
 from jackdawcrank_wire.messages.chunk_credit import ChunkCredit
+from jackdawcrank_wire.messages.closing import Closing
 from jackdawcrank_wire.messages.column_info import ColumnInfo
 from jackdawcrank_wire.messages.config_version import ConfigVersion
 from jackdawcrank_wire.messages.evidence_answer import EvidenceAnswer
@@ -23,6 +24,7 @@
 from jackdawcrank_wire.messages.proof import Proof
 from jackdawcrank_wire.messages.refused import RefusalReason, Refused
 from jackdawcrank_wire.messages.replica_positions import ReplicaPositions
+from jackdawcrank_wire.messages.request_failed import RequestFailed
 from jackdawcrank_wire.messages.result_error import ResultError
 from jackdawcrank_wire.messages.result_ok import ResultOk
 from jackdawcrank_wire.messages.result_rows import ResultRows, Row, Rows
@@ -42,6 +44,7 @@
     "ChangesAnswer",
     "ChangesRequest",
     "ChunkCredit",
+    "Closing",
     "ColumnInfo",
     "ConfigVersion",
     "EvidenceAnswer",
@@ -59,6 +62,7 @@
     "RefusalReason",
     "Refused",
     "ReplicaPositions",
+    "RequestFailed",
     "ResultError",
     "ResultOk",
     "ResultRows",
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/message.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/message.py
@@ -8,6 +8,7 @@
 from jackdawcrank_wire.messages.changes_answer import ChangesAnswer
 from jackdawcrank_wire.messages.changes_request import ChangesRequest
 from jackdawcrank_wire.messages.chunk_credit import ChunkCredit
+from jackdawcrank_wire.messages.closing import Closing
 from jackdawcrank_wire.messages.config_version import ConfigVersion
 from jackdawcrank_wire.messages.evidence_answer import EvidenceAnswer
 from jackdawcrank_wire.messages.execute import Execute
@@ -20,6 +21,7 @@
 from jackdawcrank_wire.messages.proof import Proof
 from jackdawcrank_wire.messages.refused import Refused
 from jackdawcrank_wire.messages.replica_positions import ReplicaPositions
+from jackdawcrank_wire.messages.request_failed import RequestFailed
 from jackdawcrank_wire.messages.rows_chunk import RowsChunk
 
 Message = (
@@ -44,6 +46,8 @@
     | ChangesAnswer
     | Leaving
     | ReplicaPositions
+    | Closing
+    | RequestFailed
 )
 
 # A number is never reused, since peers of two versions talk to each other.
@@ -69,4 +73,6 @@
     19: ChangesAnswer,
     20: Leaving,
     21: ReplicaPositions,
+    22: Closing,
+    23: RequestFailed,
 }
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/refused.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/refused.py
@@ -20,7 +20,10 @@
     Attributes:
       request_number: The number of the request.
       reason: Why it was not passed on.
+      message_number: The type of the request; a refusal of another type than
+        the request's own is no answer to it.
     """
 
     request_number: int
     reason: RefusalReason
+    message_number: int
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/result_rows.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/result_rows.py
@@ -22,6 +22,7 @@
       warnings: The number of warnings.
       server: The backend server that answered.
       complete: Whether `rows` holds every row; else chunks follow.
+      term: The term under which the server was chosen.
     """
 
     columns: tuple[ColumnInfo, ...]
@@ -32,3 +33,4 @@
     warnings: int = 0
     server: str = ""
     complete: bool = True
+    term: int = 0
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/statement_request.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/statement_request.py
@@ -29,6 +29,7 @@
       last_server: The backend server of the session's last read; empty for
         none.
       last_read_age_ms: The time since that read ended, in milliseconds.
+      last_read_term: The term under which that server was chosen.
       setup: Statements that set the session's variables, to run before it.
     """
 
@@ -46,4 +47,5 @@
     kind: StatementKind = StatementKind.WRITE
     last_server: str = ""
     last_read_age_ms: int | None = None
+    last_read_term: int = 0
     setup: tuple[str, ...] = ()
