Serve resources, watches and actions to operators

Every proxy offers the same API; an accepted change whose answer was lost is recognized on repeat, and a conflict names who changed what. The OpenAPI page is generated from the declarations.

--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/action_handlers.py
@@ -0,0 +1,196 @@
+"""Handlers that make the system do something."""
+
+import functools
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from jackdawcrank.operators.auth import ACTOR
+from jackdawcrank.operators.bodies import json_body
+from jackdawcrank.operators.ports import (
+    ActionDone,
+    ActionRefused,
+    NoSuchTarget,
+    OperatorPorts,
+)
+from jackdawcrank.operators.problem_answer import (
+    BAD_REQUEST,
+    CONFLICT,
+    UNAVAILABLE,
+    error_answer,
+    missing_answer,
+)
+from jackdawcrank.operators.writes import WriteRequest, write
+from jackdawcrank_policy.configuration import Kind
+from jackdawcrank_policy.values import ServerState, Vm
+
+FORWARDED = "Jackdawcrank-Forwarded"
+FORWARD_SECONDS = 10.0
+PASSED_ON = ("Authorization", "Jackdawcrank-Actor")
+
+
+class ActionHandlers:
+    """Serves promotions, drains and questions about requests."""
+
+    def __init__(self, ports: OperatorPorts) -> None:
+        self.ports = ports
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that this class serves."""
+        return [
+            web.post("/v1/groups/{name}/promote", self.promote),
+            web.post("/v1/vms/{name}/drain", self.drain_vm),
+            web.post("/v1/servers/{name}/drain", self.drain_server),
+            web.get("/v1/requests/{group}/{id}", self.request_outcome),
+            web.get("/v1/status", self.status),
+            web.get("/v1/ready", self.ready),
+        ]
+
+    async def promote(self, request: web.Request) -> web.Response:
+        """Begin a promotion, to the server that the body may name."""
+        name = request.match_info["name"]
+        if name not in self.ports.follower.configuration.groups:
+            return missing_answer(f"DatabaseGroup {name}")
+        body = await json_body(request)
+        if isinstance(body, web.Response):
+            return body
+        server = body.get("server") if isinstance(body, dict) else body
+        if server is not None and not isinstance(server, str):
+            message = "server must be the name of a BackendServer"
+            return error_answer(BAD_REQUEST, "malformed", message)
+        if server is not None and not self.is_member(server, name):
+            hint = f"jackdawcrankctl describe DatabaseGroup {name}"
+            return missing_answer(f"server {server} in group {name}", hint)
+        outcome = await self.ports.promote(name, server, request[ACTOR])
+        return action_answer(outcome)
+
+    def is_member(self, server: str, group: str) -> bool:
+        """Return whether a server belongs to a group."""
+        spec = self.ports.follower.configuration.servers.get(server)
+        return spec is not None and spec.group == group
+
+    async def drain_vm(self, request: web.Request) -> web.Response:
+        """Begin the graceful shutdown of a VM, this one or another."""
+        name = request.match_info["name"]
+        if name == self.ports.vm:
+            return action_answer(await self.ports.drain_self(request[ACTOR]))
+        vm = self.ports.members().vms.get(name)
+        if vm is None or FORWARDED in request.headers:
+            hint = "jackdawcrankctl status lists the VMs"
+            return missing_answer(f"VM {name}", hint)
+        return await forward_drain(request, vm)
+
+    async def drain_server(self, request: web.Request) -> web.Response:
+        """Declare a backend server as leaving."""
+        name = request.match_info["name"]
+        kind = Kind.BACKEND_SERVER
+        entry = self.ports.follower.configuration.entries.get((kind, name))
+        if entry is None:
+            hint = f"jackdawcrankctl get {kind} lists what there is"
+            return missing_answer(f"{kind} {name}", hint)
+        state = str(ServerState.LEAVING)
+        spec = {**entry.document.get("spec", {}), "state": state}
+        body = {"spec": spec}
+        drain = WriteRequest(kind, name, body, entry.version, request[ACTOR])
+        return await write(self.ports, drain)
+
+    async def request_outcome(self, request: web.Request) -> web.Response:
+        """Tell what became of a caller's request."""
+        group, request_id = (
+            request.match_info["group"],
+            request.match_info["id"],
+        )
+        if group not in self.ports.follower.configuration.groups:
+            return missing_answer(f"DatabaseGroup {group}")
+        outcome = await self.ports.request_outcome(group, request_id)
+        if outcome is None:
+            hint = "it did not run, or its record has been removed"
+            return missing_answer(f"record of request {request_id}", hint)
+        return web.json_response(dict(outcome))
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Tell the state of this process and which VMs it knows."""
+        return web.json_response(status_document(self.ports))
+
+    async def ready(self, request: web.Request) -> web.Response:
+        """Tell the platform's balancer whether to send callers here."""
+        ready = self.ports.ready()
+        status = 200 if ready else UNAVAILABLE
+        return web.json_response({"ready": ready}, status=status)
+
+
+def status_document(ports: OperatorPorts) -> dict[str, Any]:
+    """Return the state of a process as JSON values."""
+    members = ports.members()
+    vms = [
+        {
+            "name": vm.name,
+            "host": vm.host,
+            "operatorPort": vm.operator_port,
+            "region": vm.region,
+            "dataCenter": vm.data_center,
+            "state": "leaving" if vm.name in members.leaving else "live",
+        }
+        for _, vm in sorted(members.vms.items())
+    ]
+    follower = ports.follower
+    return {
+        "vm": ports.vm,
+        "ready": ports.ready(),
+        "configurationVersion": follower.version,
+        "storeAnswers": follower.store_answers,
+        "vms": vms,
+        **ports.status(),
+    }
+
+
+@functools.singledispatch
+def action_answer(outcome: object) -> web.Response:
+    """Return the answer to an action with some outcome."""
+    raise TypeError(f"not an outcome: {outcome!r}")
+
+
+@action_answer.register
+def done_answer(outcome: ActionDone) -> web.Response:
+    """Return the answer to an action that was carried out."""
+    return web.json_response({"done": True, **outcome.detail})
+
+
+@action_answer.register
+def refused_answer(outcome: ActionRefused) -> web.Response:
+    """Return the answer to an action that was refused."""
+    more: dict[str, Any] = {}
+    if outcome.retry_after_ms is not None:
+        more["retryAfterMs"] = outcome.retry_after_ms
+    return error_answer(CONFLICT, "refused", outcome.detail, **more)
+
+
+@action_answer.register
+def no_target_answer(outcome: NoSuchTarget) -> web.Response:
+    """Return the answer to an action on something that does not exist."""
+    return missing_answer(outcome.detail)
+
+
+async def forward_drain(request: web.Request, vm: Vm) -> web.Response:
+    """Pass the drain of another VM on to it."""
+    url = f"http://{vm.host}:{vm.operator_port}/v1/vms/{vm.name}/drain"
+    headers = {FORWARDED: "1"}
+    for name in PASSED_ON:
+        if name in request.headers:
+            headers[name] = request.headers[name]
+    limit = aiohttp.ClientTimeout(total=FORWARD_SECONDS)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=limit) as session,
+            session.post(url, headers=headers) as response,
+        ):
+            document = await response.json()
+            return web.json_response(document, status=response.status)
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        return error_answer(
+            UNAVAILABLE,
+            "unreachable",
+            f"VM {vm.name} can't be reached: {type(error).__name__}",
+            f"if it is dead there is nothing to drain; else ask {url}",
+        )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/api.py
@@ -0,0 +1,89 @@
+"""The resource API over HTTP."""
+
+import asyncio
+from collections.abc import Sequence
+
+from aiohttp import web
+
+from jackdawcrank.operators.action_handlers import ActionHandlers
+from jackdawcrank.operators.auth import require_token
+from jackdawcrank.operators.bodies import MAX_BODY_BYTES
+from jackdawcrank.operators.ports import OperatorPorts
+from jackdawcrank.operators.resource_handlers import ResourceHandlers
+from jackdawcrank.operators.timeline_handler import TimelineHandler
+from jackdawcrank.operators.watch import WatchHandler
+from jackdawcrank_wire.resources.openapi import openapi_document
+
+SHUTDOWN_SECONDS = 2.0
+KEEPALIVE_SECONDS = 30.0
+MAX_LINE_BYTES = 8190
+
+
+class OperatorApi:
+    """Serves operators on one port.
+
+    Attributes:
+      host: The address to listen on.
+      port: The port; after `start` the one that was bound.
+      closing: Set at shutdown; ends the streams.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        tokens: Sequence[str],
+        ports: OperatorPorts,
+    ) -> None:
+        """Make the API; `start` opens it.
+
+        Args:
+          host: The address to listen on.
+          port: The port; 0 picks a free one.
+          tokens: The bearer tokens; `NAME:SECRET` names the holder.
+          ports: What the process offers.
+        """
+        self.host = host
+        self.port = port
+        self.tokens = tuple(tokens)
+        self.ports = ports
+        self.closing = asyncio.Event()
+        self.runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Open the port."""
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES,
+            middlewares=[require_token(self.tokens)],  # type: ignore[list-item]
+        )
+        app.add_routes([web.get("/v1/openapi.json", self.openapi)])
+        for part in (
+            ActionHandlers(self.ports),
+            WatchHandler(self.ports, self.closing),
+            TimelineHandler(self.ports, self.closing),
+            ResourceHandlers(self.ports),
+        ):
+            app.add_routes(part.routes())
+        self.runner = web.AppRunner(
+            app,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, self.host, self.port)
+        await site.start()
+        self.port = int(self.runner.addresses[0][1])
+
+    async def close(self) -> None:
+        """End the streams, answer what is in flight and close the port."""
+        self.closing.set()
+        runner, self.runner = self.runner, None
+        if runner is not None:
+            await runner.cleanup()
+
+    async def openapi(self, request: web.Request) -> web.Response:
+        """Describe the API."""
+        return web.json_response(openapi_document())
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/bodies.py
@@ -0,0 +1,44 @@
+"""Reads request bodies within bounds."""
+
+import asyncio
+import json
+from typing import Any
+
+from aiohttp import web
+
+from jackdawcrank.operators.problem_answer import (
+    BAD_REQUEST,
+    TOO_LARGE,
+    error_answer,
+)
+
+MAX_BODY_BYTES = 64 * 1024
+BODY_SECONDS = 10.0
+
+
+async def json_body(request: web.Request) -> Any | web.Response:
+    """Return a request's JSON value, or the answer that refuses it."""
+    try:
+        async with asyncio.timeout(BODY_SECONDS):
+            text = await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        return error_answer(
+            TOO_LARGE, "too_large", f"a body has at most {MAX_BODY_BYTES} bytes"
+        )
+    except TimeoutError:
+        return error_answer(
+            BAD_REQUEST, "timeout", f"the body took over {BODY_SECONDS} s"
+        )
+    try:
+        return json.loads(text) if text else {}
+    except (ValueError, RecursionError) as error:
+        message = f"the body is not JSON: {error}"
+        return error_answer(BAD_REQUEST, "malformed", message)
+
+
+def whole_number(request: web.Request, name: str, default: int) -> int | None:
+    """Return a query parameter as a number; None if it is none."""
+    text = request.query.get(name, "")
+    if not text:
+        return default
+    return int(text) if text.isdecimal() and len(text) <= 18 else None
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/documents.py
@@ -0,0 +1,51 @@
+"""JSON forms of stored rows, as operators see them."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from jackdawcrank_policy.configuration import Change, Entry
+from jackdawcrank_wire.resources import API_VERSION
+
+
+def resource_view(
+    kind: str, name: str, entry: Entry, status: Mapping[str, Any]
+) -> dict[str, Any]:
+    """Return the resource that an entry of the configuration holds."""
+    return {
+        "apiVersion": API_VERSION,
+        "kind": kind,
+        "metadata": {"name": name},
+        "spec": entry.document.get("spec", {}),
+        "status": {
+            "changedBy": entry.actor,
+            "changedAt": entry.at,
+            **status,
+        },
+        "resourceVersion": entry.version,
+    }
+
+
+def change_view(change: Change) -> dict[str, Any]:
+    """Return a change as one line of a watch."""
+    document = dict(change.document)
+    document.pop("resource_version", None)
+    document.pop("token", None)
+    return {
+        "version": change.version,
+        "kind": change.kind,
+        "name": change.name,
+        "deleted": change.deleted,
+        "actor": change.actor,
+        "at": change.at,
+        "body": document,
+    }
+
+
+def differences(
+    before: Mapping[str, Any], after: Mapping[str, Any], path: str = "spec"
+) -> Iterator[dict[str, Any]]:
+    """Yield each key of a spec that differs."""
+    for name in sorted(before.keys() | after.keys()):
+        old, new = before.get(name), after.get(name)
+        if old != new:
+            yield {"path": f"{path}.{name}", "from": old, "to": new}
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/problem_answer.py
@@ -0,0 +1,83 @@
+"""Error answers of the resource API."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from aiohttp import web
+
+from jackdawcrank_wire.resources import Problem
+
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+NOT_FOUND = 404
+CONFLICT = 409
+GONE = 410
+PRECONDITION_FAILED = 412
+TOO_LARGE = 413
+INVALID = 422
+UNAVAILABLE = 503
+
+
+def error_answer(
+    status: int,
+    code: str,
+    message: str,
+    hint: str = "",
+    **more: Any,
+) -> web.Response:
+    """Return an error answer.
+
+    Args:
+      status: The HTTP status.
+      code: A word for programs.
+      message: What is wrong.
+      hint: What to do about it.
+      **more: Further JSON values.
+    """
+    error: dict[str, Any] = {"code": code, "message": message}
+    if hint:
+        error["hint"] = hint
+    return web.json_response({"error": {**error, **more}}, status=status)
+
+
+def invalid_answer(problems: Iterable[Problem]) -> web.Response:
+    """Return the answer to an invalid resource."""
+    listed = [problem_document(problem) for problem in problems]
+    return error_answer(
+        INVALID,
+        "invalid",
+        "the resource is not valid",
+        "correct the named values and send it again",
+        problems=listed,
+    )
+
+
+def problem_document(problem: Problem) -> Mapping[str, Any]:
+    """Return a problem's JSON value."""
+    return {
+        "path": problem.path,
+        "message": problem.message,
+        "value": problem.value,
+    }
+
+
+def unavailable_answer(maybe_applied: bool, detail: str) -> web.Response:
+    """Return the answer when the store can't be reached."""
+    if maybe_applied:
+        message = f"the change may have been made; {detail}"
+        hint = "send the same request again; a change is made once only"
+    else:
+        message = f"the change was not made; {detail}"
+        hint = "try again once the store answers"
+    return error_answer(
+        UNAVAILABLE,
+        "store_unavailable",
+        message,
+        hint,
+        maybeApplied=maybe_applied,
+    )
+
+
+def missing_answer(what: str, hint: str = "") -> web.Response:
+    """Return the answer about something that does not exist."""
+    return error_answer(NOT_FOUND, "not_found", f"there is no {what}", hint)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/resource_handlers.py
@@ -0,0 +1,121 @@
+"""Handlers that list, get, put and delete resources."""
+
+from aiohttp import web
+
+from jackdawcrank.operators.auth import ACTOR
+from jackdawcrank.operators.bodies import json_body
+from jackdawcrank.operators.documents import resource_view
+from jackdawcrank.operators.ports import OperatorPorts
+from jackdawcrank.operators.preconditions import (
+    MalformedCondition,
+    expected_version,
+)
+from jackdawcrank.operators.problem_answer import (
+    BAD_REQUEST,
+    error_answer,
+    invalid_answer,
+    missing_answer,
+)
+from jackdawcrank.operators.writes import (
+    WriteRequest,
+    missing_reference,
+    row_body,
+    still_referenced,
+    view,
+    write,
+)
+from jackdawcrank_policy.configuration import Kind
+from jackdawcrank_wire.resources import Invalid, known_kind, parse_resource
+
+
+class ResourceHandlers:
+    """Serves resources from the configuration in force on this proxy."""
+
+    def __init__(self, ports: OperatorPorts) -> None:
+        self.ports = ports
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes that this class serves."""
+        kinds = "DatabaseGroup|BackendServer|CallerClass"
+        collection = f"/v1/{{kind:{kinds}}}"
+        return [
+            web.get(collection, self.list),
+            web.get(f"{collection}/{{name}}", self.get),
+            web.put(f"{collection}/{{name}}", self.put),
+            web.delete(f"{collection}/{{name}}", self.delete),
+        ]
+
+    async def list(self, request: web.Request) -> web.Response:
+        """List the resources of a kind."""
+        kind = request.match_info["kind"]
+        configuration = self.ports.follower.configuration
+        items = [
+            resource_view(
+                kind, name, entry, self.ports.resource_status(kind, name)
+            )
+            for (entry_kind, name), entry in sorted(
+                configuration.entries.items()
+            )
+            if entry_kind == kind
+        ]
+        body = {"version": configuration.version, "items": items}
+        return web.json_response(body)
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Show one resource."""
+        kind, name = identity(request)
+        return view(self.ports, kind, name)
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Create or change a resource."""
+        kind, name = identity(request)
+        document = await json_body(request)
+        if isinstance(document, web.Response):
+            return document
+        resource = parse_resource(document)
+        if isinstance(resource, Invalid):
+            return invalid_answer(resource.problems)
+        if (resource.kind, resource.name) != (kind, name):
+            message = f"the body is {resource.kind} {resource.name}"
+            return error_answer(BAD_REQUEST, "wrong_path", message)
+        expected = expected_version(request, document)
+        if isinstance(expected, MalformedCondition):
+            return error_answer(BAD_REQUEST, "malformed", expected.detail)
+        configuration = self.ports.follower.configuration
+        refusal = missing_reference(resource, configuration)
+        if refusal is not None:
+            return refusal
+        return await write(
+            self.ports,
+            WriteRequest(
+                kind,
+                name,
+                row_body(resource),
+                expected.version,
+                request[ACTOR],
+            ),
+        )
+
+    async def delete(self, request: web.Request) -> web.Response:
+        """Delete a resource."""
+        kind, name = identity(request)
+        expected = expected_version(request)
+        if isinstance(expected, MalformedCondition):
+            return error_answer(BAD_REQUEST, "malformed", expected.detail)
+        configuration = self.ports.follower.configuration
+        if (kind, name) not in configuration.entries:
+            return missing_answer(f"{kind} {name}")
+        refusal = still_referenced(kind, name, configuration)
+        if refusal is not None:
+            return refusal
+        deletion = WriteRequest(
+            kind, name, None, expected.version, request[ACTOR]
+        )
+        return await write(self.ports, deletion)
+
+
+def identity(request: web.Request) -> tuple[Kind, str]:
+    """Return the kind and name in a request's path."""
+    kind = known_kind(request.match_info["kind"])
+    assert kind is not None, "the route admits only known kinds"
+    return kind, request.match_info["name"]
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/writes.py
@@ -0,0 +1,234 @@
+"""Writes resources to the change log."""
+
+import asyncio
+import functools
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from jackdawcrank.operators.documents import differences, resource_view
+from jackdawcrank.operators.ports import OperatorPorts
+from jackdawcrank.operators.problem_answer import (
+    CONFLICT,
+    PRECONDITION_FAILED,
+    error_answer,
+    missing_answer,
+    unavailable_answer,
+)
+from jackdawcrank.store import (
+    Appended,
+    ChangeConflict,
+    StoreUnavailable,
+    Unchanged,
+)
+from jackdawcrank.store.change_reader import read_change
+from jackdawcrank_policy.configuration import Change, Configuration, Kind
+from jackdawcrank_wire.events import EventKind
+from jackdawcrank_wire.resources import (
+    BackendServerSpec,
+    Resource,
+    plain,
+)
+
+IN_FORCE_HERE_SECONDS = 2.0
+
+
+@attrs.frozen
+class WriteRequest:
+    """A write that an operator asked for.
+
+    Attributes:
+      kind: The resource's kind.
+      name: Its name.
+      body: The new row; None deletes it.
+      expected: The version that it must have; 0 for none, None for any.
+      actor: Who asked.
+    """
+
+    kind: Kind
+    name: str
+    body: Mapping[str, Any] | None
+    expected: int | None
+    actor: str
+
+
+async def write(ports: OperatorPorts, request: WriteRequest) -> web.Response:
+    """Make a change and answer once it is in force on this proxy."""
+    outcome = await ports.change_log.append(
+        request.kind,
+        request.name,
+        request.body,
+        request.expected,
+        request.actor,
+    )
+    return await answer(outcome, ports, request)
+
+
+@functools.singledispatch
+async def answer(
+    outcome: object, ports: OperatorPorts, request: WriteRequest
+) -> web.Response:
+    """Return the answer to a write with some outcome."""
+    raise TypeError(f"not an outcome: {outcome!r}")
+
+
+@answer.register
+async def answer_appended(
+    outcome: Appended, ports: OperatorPorts, request: WriteRequest
+) -> web.Response:
+    """Return the answer to a change that was made."""
+    ports.timeline.record(
+        EventKind.CONFIG_APPLIED,
+        config_version=outcome.version,
+        resource=f"{request.kind}/{request.name}",
+        actor=request.actor,
+    )
+    await in_force_here(ports, outcome.version)
+    return success(request, outcome.version, request.actor, changed=True)
+
+
+@answer.register
+async def answer_unchanged(
+    outcome: Unchanged, ports: OperatorPorts, request: WriteRequest
+) -> web.Response:
+    """Return the answer to a change that had been made before."""
+    await in_force_here(ports, outcome.version)
+    return success(request, outcome.version, outcome.actor, changed=False)
+
+
+@answer.register
+async def answer_conflict(
+    outcome: ChangeConflict, ports: OperatorPorts, request: WriteRequest
+) -> web.Response:
+    """Return the answer that tells who else changed what."""
+    ports.timeline.record(
+        EventKind.CONFIG_CONFLICT,
+        resource=f"{request.kind}/{request.name}",
+        actor=request.actor,
+        changed_by=outcome.actor,
+    )
+    label = f"{request.kind} {request.name}"
+    if outcome.current is None:
+        return error_answer(
+            PRECONDITION_FAILED,
+            "conflict",
+            f"{label} does not exist any more, or not yet",
+            "read it again, then apply without a version",
+            resourceVersion=0,
+        )
+    changed = await changed_since(ports, request, outcome)
+    author = outcome.actor or "somebody"
+    return error_answer(
+        PRECONDITION_FAILED,
+        "conflict",
+        f"{label} was changed by {author} to version {outcome.version}",
+        "read the new version, merge your change into it, then apply again",
+        changedBy=outcome.actor,
+        changedAt=outcome.at,
+        resourceVersion=outcome.version,
+        changed=changed,
+        current=outcome.current.get("spec", {}),
+    )
+
+
+@answer.register
+async def answer_unavailable(
+    outcome: StoreUnavailable, ports: OperatorPorts, request: WriteRequest
+) -> web.Response:
+    """Return the answer to a write that the store did not settle."""
+    return unavailable_answer(outcome.maybe_applied, outcome.detail)
+
+
+async def changed_since(
+    ports: OperatorPorts, request: WriteRequest, conflict: ChangeConflict
+) -> list[dict[str, Any]]:
+    """Return what differs from the version that the writer knew."""
+    if not request.expected or conflict.current is None:
+        return []
+    base = await read_change(ports.store, request.expected)
+    if not isinstance(base, Change) or base.name != request.name:
+        return []
+    before = base.document.get("spec", {})
+    return list(differences(before, conflict.current.get("spec", {})))
+
+
+async def in_force_here(ports: OperatorPorts, version: int) -> None:
+    """Wait for a version, so that this proxy's next answer shows it."""
+    try:
+        async with asyncio.timeout(IN_FORCE_HERE_SECONDS):
+            await ports.follower.peer_is_at(version)
+            await ports.follower.wait_above(version - 1)
+    except TimeoutError:
+        return
+
+
+def success(
+    request: WriteRequest, version: int, actor: str, changed: bool
+) -> web.Response:
+    """Return the answer to a write that stands."""
+    document: dict[str, Any] = {
+        "kind": str(request.kind),
+        "metadata": {"name": request.name},
+        "resourceVersion": version,
+        "changed": changed,
+        "changedBy": actor,
+    }
+    if request.body is None:
+        document["deleted"] = True
+    else:
+        document["spec"] = request.body["spec"]
+    headers = {"ETag": f'"{version}"'}
+    return web.json_response(document, headers=headers)
+
+
+def row_body(resource: Resource) -> dict[str, Any]:
+    """Return the row of a resource, without its version."""
+    return {"spec": plain(resource.spec)}
+
+
+def missing_reference(
+    resource: Resource, configuration: Configuration
+) -> web.Response | None:
+    """Return the refusal of a server whose group does not exist."""
+    spec = resource.spec
+    if not isinstance(spec, BackendServerSpec):
+        return None
+    if spec.group in configuration.groups:
+        return None
+    return error_answer(
+        CONFLICT,
+        "missing_reference",
+        f"spec.group: there is no DatabaseGroup {spec.group}",
+        f"apply the DatabaseGroup {spec.group} first",
+    )
+
+
+def still_referenced(
+    kind: Kind, name: str, configuration: Configuration
+) -> web.Response | None:
+    """Return the refusal to delete a group that has servers."""
+    if kind is not Kind.DATABASE_GROUP:
+        return None
+    servers = [server.name for server in configuration.servers_of(name)]
+    if not servers:
+        return None
+    return error_answer(
+        CONFLICT,
+        "still_referenced",
+        f"DatabaseGroup {name} has the servers {', '.join(servers)}",
+        "delete these BackendServers first",
+    )
+
+
+def view(ports: OperatorPorts, kind: Kind, name: str) -> web.Response:
+    """Return the answer that shows a resource."""
+    entry = ports.follower.configuration.entries.get((kind, name))
+    if entry is None:
+        hint = f"jackdawcrankctl get {kind} lists what there is"
+        return missing_answer(f"{kind} {name}", hint)
+    status = ports.resource_status(kind, name)
+    document = resource_view(kind, name, entry, status)
+    headers = {"ETag": f'"{entry.version}"'}
+    return web.json_response(document, headers=headers)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/__init__.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/__init__.py
@@ -5,6 +5,7 @@
     Appended,
     ChangeConflict,
     ChangeLog,
+    Unchanged,
 )
 from jackdawcrank.store.client import StoreClient
 from jackdawcrank.store.head import Head, read_head
@@ -51,6 +52,7 @@
     "StoreUnavailable",
     "StoredObject",
     "Transaction",
+    "Unchanged",
     "decode_change",
     "encode_change",
     "read_head",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/change_log.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/change_log.py
@@ -64,6 +64,19 @@
     at: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Unchanged:
+    """The resource already is as the writer wants it; nothing was written.
+
+    Attributes:
+      version: The version of the change that made it so.
+      actor: Who made that change; empty if that is no longer known.
+    """
+
+    version: int
+    actor: str = ""
+
+
 @attrs.frozen
 class Write:
     """A change that is about to be made.
@@ -95,7 +108,7 @@
         return f"{self.kind}/{self.name}"
 
 
-AppendOutcome = Appended | ChangeConflict | StoreUnavailable
+AppendOutcome = Appended | Unchanged | ChangeConflict | StoreUnavailable
 Expectation = Callable[[Row | None], bool]
 
 
@@ -201,8 +214,10 @@
         if isinstance(row, StoreUnavailable):
             return row
         present = row if isinstance(row, Row) else None
+        if already_so(write, present):
+            return await self.unchanged(present)
         if not expected(present):
-            return await self.conflict(present, write)
+            return await self.conflict(present)
         change = self.change(write, head.version + 1)
         transaction = transaction_for(write, change, head, present)
         return await self.settle(transaction, change, deadline)
@@ -271,16 +286,27 @@
             return None
         return StoreUnavailable(True, "the change log was shortened")
 
-    async def conflict(
-        self, present: Row | None, write: Write
-    ) -> ChangeConflict:
+    async def conflict(self, present: Row | None) -> ChangeConflict:
         """Return who wrote the row that was not as expected."""
         version = resource_version(present)
         value = present.value if present is not None else None
-        found = await read_change(self.store, version) if version else None
-        if isinstance(found, Change):
-            return ChangeConflict(value, found.actor, version, found.at)
-        return ChangeConflict(value, "", version)
+        author = await self.author(version)
+        if author is None:
+            return ChangeConflict(value, "", version)
+        return ChangeConflict(value, author.actor, version, author.at)
+
+    async def unchanged(self, present: Row | None) -> Unchanged:
+        """Return who wrote the row that is as wanted."""
+        version = resource_version(present)
+        author = await self.author(version)
+        return Unchanged(version, author.actor if author else "")
+
+    async def author(self, version: int) -> Change | None:
+        """Return the change of a version, if it is still known."""
+        if version == 0:
+            return None
+        found = await read_change(self.store, version)
+        return found if isinstance(found, Change) else None
 
     async def paused(self, attempt: int, deadline: float) -> bool:
         """Wait before another attempt; return whether time is left for it."""
@@ -293,6 +319,20 @@
         return True
 
 
+def already_so(write: Write, present: Row | None) -> bool:
+    """Return whether a resource is as a write would make it.
+
+    A repeated write, whose first answer was lost, is recognized by this.
+    """
+    if write.kind == Kind.GROUP_ROW:
+        return False
+    if write.body is None or present is None:
+        return write.body is None and present is None
+    body = dict(present.value)
+    body.pop("resource_version", None)
+    return body == dict(write.body)
+
+
 def transaction_for(
     write: Write, change: Change, head: Head, present: Row | None
 ) -> Transaction:
--- /dev/null
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/openapi.py
@@ -0,0 +1,245 @@
+"""The OpenAPI description of the resource API."""
+
+import json
+from typing import Any
+
+from jackdawcrank_policy.configuration import RESOURCE_KINDS
+from jackdawcrank_wire.resources.schema import Schema, resource_schema
+
+TITLE = "jackdawcrank resource API"
+ERROR_MEANINGS = {
+    "400": "The request is malformed.",
+    "401": "The bearer token is missing or wrong.",
+    "404": "There is no such thing.",
+    "409": "Refused as things stand; the message says why.",
+    "410": "The version is older than the change log reaches.",
+    "412": "Somebody else changed the resource; the answer says who and what.",
+    "413": "The body is too large.",
+    "422": "The resource is not valid; the answer names path and value.",
+    "503": "The store does not answer; the answer says whether the change "
+    "may have been made.",
+}
+
+
+def openapi_document() -> dict[str, Any]:
+    """Return the OpenAPI description as a JSON value."""
+    kinds: dict[str, Any] = {}
+    for kind in RESOURCE_KINDS:
+        kinds.update(kind_paths(str(kind)))
+    schemas = {str(kind): resource_schema(kind) for kind in RESOURCE_KINDS}
+    return {
+        "openapi": "3.1.0",
+        "info": {"title": TITLE, "version": "1"},
+        "security": [{"bearer": []}],
+        "paths": {**kinds, **other_paths()},
+        "components": {
+            "securitySchemes": {"bearer": {"type": "http", "scheme": "bearer"}},
+            "schemas": {**schemas, "Error": error_schema()},
+        },
+    }
+
+
+def openapi_text() -> str:
+    """Return the OpenAPI description as it stands in the docs."""
+    return json.dumps(openapi_document(), indent=2) + "\n"
+
+
+def kind_paths(kind: str) -> dict[str, Any]:
+    """Return the paths of one kind of resource."""
+    name = parameter("name", "path", "string", "The resource's name.")
+    if_match = parameter(
+        "If-Match", "header", "string", "The resource version to change."
+    )
+    none_match = parameter(
+        "If-None-Match", "header", "string", "`*`: create only."
+    )
+    item = {"$ref": f"#/components/schemas/{kind}"}
+    return {
+        f"/v1/{kind}": {
+            "get": operation(f"List each {kind}.", list_schema(item)),
+        },
+        f"/v1/{kind}/{{name}}": {
+            "get": operation(f"Show one {kind}.", item, "404", [name]),
+            "put": {
+                **operation(
+                    f"Create or change a {kind}. Repeating it is harmless.",
+                    {"type": "object"},
+                    "400 409 412 413 422 503",
+                    [name, if_match, none_match],
+                ),
+                "requestBody": {"required": True, "content": content(item)},
+            },
+            "delete": operation(
+                f"Delete a {kind}.",
+                {"type": "object"},
+                "400 404 409 412 503",
+                [name, if_match],
+            ),
+        },
+    }
+
+
+def other_paths() -> dict[str, Any]:
+    """Return the paths that are not about one kind."""
+    name = parameter("name", "path", "string", "A name.")
+    anything = {"type": "object"}
+    promote = operation(
+        "Promote a server of a group; the body may name it as `server`.",
+        anything,
+        "404 409",
+        [name],
+    )
+    group = parameter("group", "path", "string", "The database group.")
+    request_id = parameter("id", "path", "string", "The request id.")
+    return {
+        "/v1/watch": {"get": watch_operation()},
+        "/v1/timeline": {"get": timeline_operation()},
+        "/v1/status": {"get": operation("State of this VM.", anything)},
+        "/v1/ready": {
+            "get": {
+                **operation("Whether to send callers here.", anything, "503"),
+                "security": [],
+            }
+        },
+        "/v1/groups/{name}/promote": {"post": promote},
+        "/v1/vms/{name}/drain": {
+            "post": operation(
+                "Shut a VM down gracefully.", anything, "404 409 503", [name]
+            )
+        },
+        "/v1/servers/{name}/drain": {
+            "post": operation(
+                "Declare a backend server as leaving.",
+                anything,
+                "404 412 503",
+                [name],
+            )
+        },
+        "/v1/requests/{group}/{id}": {
+            "get": operation(
+                "What became of a caller's request.",
+                anything,
+                "404",
+                [group, request_id],
+            )
+        },
+        "/v1/openapi.json": {"get": operation("This page.", anything)},
+    }
+
+
+def watch_operation() -> Schema:
+    """Return the operation that streams changes."""
+    start = parameter(
+        "from",
+        "query",
+        "integer",
+        "Send the changes above this version; absent: the present one.",
+    )
+    return operation(
+        "Stream changes as JSON lines, each version once and in order. A "
+        "line with `bookmark` only repeats the version.",
+        {"type": "object"},
+        "400 410",
+        [start],
+        "application/x-ndjson",
+    )
+
+
+def timeline_operation() -> Schema:
+    """Return the operation that streams events."""
+    texts = (
+        ("since", "integer", "Send the events above this sequence number."),
+        ("boot", "string", "The process that `since` counts; else from 0."),
+        ("follow", "string", "Any value: go on with events to come."),
+        ("group", "string", "Only events of this database group."),
+        ("request", "string", "Only events of this request id."),
+        ("after", "number", "Only events from this Unix time on."),
+        ("before", "number", "Only events up to this Unix time."),
+    )
+    parameters = [parameter(n, "query", kind, text) for n, kind, text in texts]
+    return operation(
+        "Stream this VM's events as JSON lines.",
+        {"type": "object"},
+        "400",
+        parameters,
+        "application/x-ndjson",
+    )
+
+
+def operation(
+    summary: str,
+    answer: Schema,
+    errors: str = "",
+    parameters: list[Schema] | None = None,
+    media_type: str = "application/json",
+) -> Schema:
+    """Return one operation.
+
+    Args:
+      summary: What it does.
+      answer: The schema of its answer.
+      errors: The HTTP statuses of its errors besides 401.
+      parameters: Its parameters.
+      media_type: The media type of its answer.
+    """
+    responses: Schema = {
+        "200": {"description": "Done.", "content": content(answer, media_type)}
+    }
+    for status in ["401", *errors.split()]:
+        responses[status] = {
+            "description": ERROR_MEANINGS[status],
+            "content": content({"$ref": "#/components/schemas/Error"}),
+        }
+    found: Schema = {"summary": summary, "responses": responses}
+    if parameters:
+        found["parameters"] = parameters
+    return found
+
+
+def parameter(name: str, place: str, kind: str, help_text: str) -> Schema:
+    """Return one parameter."""
+    return {
+        "name": name,
+        "in": place,
+        "required": place == "path",
+        "description": help_text,
+        "schema": {"type": kind},
+    }
+
+
+def content(schema: Schema, media_type: str = "application/json") -> Schema:
+    """Return the content of a body."""
+    return {media_type: {"schema": schema}}
+
+
+def list_schema(item: Schema) -> Schema:
+    """Return the schema of a list of resources."""
+    return {
+        "type": "object",
+        "properties": {
+            "version": {
+                "type": "integer",
+                "description": "Watch from here to miss nothing.",
+            },
+            "items": {"type": "array", "items": item},
+        },
+    }
+
+
+def error_schema() -> Schema:
+    """Return the schema of an error."""
+    texts = {
+        "code": "A word for programs.",
+        "message": "What is wrong.",
+        "hint": "What to do about it.",
+    }
+    properties = {
+        name: {"type": "string", "description": text}
+        for name, text in texts.items()
+    }
+    error = {
+        "type": "object",
+        "required": ["code", "message"],
+        "properties": properties,
+    }
+    return {"type": "object", "properties": {"error": error}}
