--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/answer.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/answer.py
@@ -3,37 +3,11 @@
 import attrs
 
 from jackdawcrank_policy.values import Position
+from jackdawcrank_wire.messages import ColumnInfo
 
 Row = tuple[bytes | None, ...]
 
 
-@attrs.frozen
-class Column:
-    """One column of a result, as the server described it.
-
-    Attributes:
-      name: The column's name.
-      type_code: The MySQL column type.
-      charset: The MySQL collation number.
-      length: The column length in bytes.
-      flags: The MySQL column flags.
-      decimals: The number of shown digits after the point.
-      table: The table's name or alias, empty for an expression.
-      org_name: The name in the table.
-      org_table: The table's name.
-    """
-
-    name: str
-    type_code: int
-    charset: int = 255
-    length: int = 256
-    flags: int = 0
-    decimals: int = 0
-    table: str = ""
-    org_name: str = ""
-    org_table: str = ""
-
-
 @attrs.frozen
 class RowsAnswer:
     """The statement returned rows.
@@ -43,7 +17,7 @@
       rows: The values in the text protocol's form; None is NULL.
     """
 
-    columns: tuple[Column, ...]
+    columns: tuple[ColumnInfo, ...]
     rows: tuple[Row, ...]
 
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_link.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_link.py
@@ -10,7 +10,6 @@
 from asyncmy import errors as asyncmy_errors
 
 from jackdawcrank.backend.answer import (
-    Column,
     ErrorAnswer,
     LinkAnswer,
     LostAnswer,
@@ -19,6 +18,7 @@
 )
 from jackdawcrank.backend.endpoint import Endpoint
 from jackdawcrank_policy.values import Position
+from jackdawcrank_wire.messages import ColumnInfo
 
 COM_RESET_CONNECTION = 0x1F
 ERROR_TOO_MANY_CONNECTIONS = 1040
@@ -86,7 +86,7 @@
             return ConnectFailed(_error_code(error) == 1040, str(error))
         return cls(endpoint.server, connection)
 
-    async def run(self, sql: str, timeout_seconds: float) -> LinkAnswer:
+    async def run(self, sql: str | bytes, timeout_seconds: float) -> LinkAnswer:
         """Run one statement and read its whole answer.
 
         A connection that gives no complete answer in time is closed for good.
@@ -189,8 +189,8 @@
     )
 
 
-def _read_column(field: Any) -> Column:
-    return Column(
+def _read_column(field: Any) -> ColumnInfo:
+    return ColumnInfo(
         name=field.name,
         type_code=field.type_code,
         charset=field.charsetnr,
@@ -198,8 +198,8 @@
         flags=field.flags,
         decimals=field.scale,
         table=field.table_name,
-        org_name=field.org_name,
-        org_table=field.org_table,
+        original_name=field.org_name,
+        original_table=field.org_table,
     )
 
 
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a statement from the entry proxy to a backend server."""
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/acknowledger.py
@@ -0,0 +1,137 @@
+"""Decides when an answer of the primary may be given to the caller."""
+
+import asyncio
+import enum
+
+from jackdawcrank.execution.group_state import GroupState
+from jackdawcrank_policy.acknowledgement import (
+    AwaitTerm,
+    NeedConfirmation,
+    acknowledge,
+    acknowledge_read,
+    settle,
+)
+from jackdawcrank_policy.values import (
+    Done,
+    Failed,
+    Position,
+    ServerReport,
+    Unknown,
+)
+
+CONFIRM_SECONDS = 1.0
+PROBE_SECONDS = 0.5
+LOST_WRITE_CODE = 1180
+LOST_WRITE_STATE = "HY000"
+
+
+class ReadVerdict(enum.Enum):
+    """What becomes of a primary's answer to a read."""
+
+    STANDS = enum.auto()
+    READ_AGAIN = enum.auto()
+
+
+class Acknowledger:
+    """Acknowledges what a primary has answered.
+
+    Attributes:
+      state: The group.
+    """
+
+    def __init__(self, state: GroupState) -> None:
+        self.state = state
+
+    async def write(
+        self, position: Position, deadline: float
+    ) -> Done | Failed | Unknown:
+        """Return whether a committed write stands.
+
+        Args:
+          position: The position of its commit.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        term = position.term
+        replies: dict[str, int | None] = {}
+        while True:
+            verdict = acknowledge(
+                position,
+                term,
+                self.state.lease_state(term),
+                self.state.quorum,
+                self.state.spec.confirm_writes,
+                self.state.replicas(),
+                replies,
+            )
+            if isinstance(verdict, Done | Unknown):
+                return verdict
+            if self.state.clock() >= deadline:
+                return Unknown("no confirmation came before the deadline")
+            if isinstance(verdict, NeedConfirmation):
+                replies |= await self._confirm(verdict, position, deadline)
+                continue
+            settled = await self._settle(verdict, position, deadline)
+            if not isinstance(settled, int):
+                return settled
+            term, replies = settled, {}
+
+    async def read(
+        self, server: str, term: int, deadline: float
+    ) -> ReadVerdict:
+        """Return whether a primary's answer to a read stands.
+
+        Args:
+          server: The primary that answered.
+          term: The term under which it was chosen.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        replies: dict[str, int | None] = {}
+        while True:
+            verdict = acknowledge_read(
+                term,
+                self.state.lease_state(term),
+                self.state.quorum,
+                server,
+                self.state.replicas(),
+                replies,
+            )
+            if isinstance(verdict, Done):
+                return ReadVerdict.STANDS
+            late = self.state.clock() >= deadline
+            if late or not isinstance(verdict, NeedConfirmation):
+                return ReadVerdict.READ_AGAIN
+            replies |= await self._probe_terms(verdict.servers)
+
+    async def _settle(
+        self, wait: AwaitTerm, position: Position, deadline: float
+    ) -> int | Failed | Unknown:
+        row = await self.state.active_row_above(wait.above, deadline)
+        if row is None:
+            return Unknown(f"term {wait.above} closed; no later one is open")
+        if isinstance(settle(position, row.branch), Done):
+            return row.term
+        detail = f"the write at {position} was lost in a change of primary"
+        return Failed(LOST_WRITE_CODE, LOST_WRITE_STATE, detail)
+
+    async def _confirm(
+        self, need: NeedConfirmation, position: Position, deadline: float
+    ) -> dict[str, int | None]:
+        remaining = max(0.01, deadline - self.state.clock())
+        timeout = min(CONFIRM_SECONDS, remaining)
+        controls = [self.state.controls[name] for name in need.servers]
+        terms = await asyncio.gather(
+            *(control.confirm(position, timeout) for control in controls)
+        )
+        return dict(zip(need.servers, terms, strict=True))
+
+    async def _probe_terms(
+        self, servers: tuple[str, ...]
+    ) -> dict[str, int | None]:
+        controls = [self.state.controls[name] for name in servers]
+        reports = await asyncio.gather(
+            *(control.probe(PROBE_SECONDS) for control in controls)
+        )
+        return {
+            name: report.term if isinstance(report, ServerReport) else None
+            for name, report in zip(servers, reports, strict=True)
+        }
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
@@ -0,0 +1,331 @@
+"""What a home proxy knows and holds of one database group."""
+
+import random
+from collections.abc import Callable, Sequence
+
+from jackdawcrank.backend.endpoint import Endpoint
+from jackdawcrank.backend.mysql_control import MysqlControl
+from jackdawcrank.backend.server_pool import ServerPool
+from jackdawcrank.execution.open_primary import OpenPrimary
+from jackdawcrank.execution.signal import Signal
+from jackdawcrank_policy.acknowledgement import Quorum
+from jackdawcrank_policy.budget import BudgetLedger
+from jackdawcrank_policy.lease import LEASE_SECONDS, LeaseState, LeaseTable
+from jackdawcrank_policy.routing import RoutingTable
+from jackdawcrank_policy.values import (
+    GroupPhase,
+    GroupRow,
+    GroupSpec,
+    NotRun,
+    NotRunReason,
+    ServerReport,
+    ServerSpec,
+    ServerState,
+)
+
+FAILOVER_WAIT_SECONDS = 3.0
+MAX_FAILOVER_WAITERS = 256
+NO_PRIMARY_RETRY_MS = 500
+CONTROL_CONNECTIONS = 2
+HOME_SEATS = 4
+LATENCY_WEIGHT = 0.1
+
+DropListener = Callable[[str, str], None]
+
+
+class GroupState:
+    """One group's servers, term, evidence and connections.
+
+    Attributes:
+      vm: This VM's name.
+      spec: What operators declare of the group.
+      leases: The term leases of this VM.
+      clock: The monotonic clock.
+      rng: The source of randomness.
+      servers: The declared servers by name.
+      row: The group's newest row.
+      table: Evidence and load, for routing.
+      pools: The connections to each server.
+      controls: The control connections to each server.
+      term_changed: Notified when the row or a lease changes.
+      evidence_changed: Notified when a probe was answered.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        spec: GroupSpec,
+        leases: LeaseTable,
+        clock: Callable[[], float],
+        rng: random.Random,
+        user: str,
+        password: str,
+        on_drop: DropListener,
+    ) -> None:
+        self.vm = vm
+        self.spec = spec
+        self.leases = leases
+        self.clock = clock
+        self.rng = rng
+        self.user = user
+        self.password = password
+        self.on_drop = on_drop
+        self.servers: dict[str, ServerSpec] = {}
+        self.row: GroupRow | None = None
+        self.row_version = -1
+        self.table = RoutingTable()
+        self.pools: dict[str, ServerPool] = {}
+        self.controls: dict[str, MysqlControl] = {}
+        self.ledger = BudgetLedger(self._budget(), clock())
+        self.term_changed = Signal()
+        self.evidence_changed = Signal()
+        self.failover_waiters = 0
+
+    @property
+    def name(self) -> str:
+        """Return the group's name."""
+        return self.spec.name
+
+    @property
+    def quorum(self) -> Quorum:
+        """Return the quorum of the group's servers."""
+        return Quorum(len(self.servers))
+
+    @property
+    def serving(self) -> list[ServerSpec]:
+        """Return the servers that may get work."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.state is ServerState.SERVING
+        ]
+
+    def start(self, servers: Sequence[ServerSpec]) -> None:
+        """Open connections to the servers.
+
+        Args:
+          servers: The declared servers.
+        """
+        self.set_servers(servers)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for pool in self.pools.values():
+            await pool.close()
+        for control in self.controls.values():
+            await control.close()
+
+    def set_spec(self, spec: GroupSpec) -> None:
+        """Follow a change of the declared group.
+
+        Args:
+          spec: The new declaration.
+        """
+        self.spec = spec
+        self.ledger.limit = self._budget()
+
+    def set_servers(self, servers: Sequence[ServerSpec]) -> list[str]:
+        """Follow a change of the declared servers; return those that left.
+
+        Args:
+          servers: The new declarations.
+        """
+        declared = {server.name: server for server in servers}
+        gone = [name for name in self.servers if name not in declared]
+        self.servers = declared
+        for server in servers:
+            self._ensure_connections(server)
+        for name in gone:
+            self.pools[name].drain()
+        for server in servers:
+            if server.state is ServerState.LEAVING:
+                self.pools[server.name].drain()
+        latencies = {n: load.latency for n, load in self.table.loads.items()}
+        slots = self.spec.slots_per_server
+        self.table.set_servers(servers, slots, latencies)
+        self.apply_budget()
+        return gone
+
+    def set_row(self, row: GroupRow, version: int) -> bool:
+        """Take the group's row; return whether it was newer.
+
+        Args:
+          row: The row.
+          version: The change log's version that wrote it.
+        """
+        if version <= self.row_version:
+            return False
+        self.row = row
+        self.row_version = version
+        self.ledger.apply(row.writers, version, self.clock())
+        if row.phase is GroupPhase.ACTIVE:
+            self.table.primary = row.primary
+            self.table.evidence.begin_term(row.branch)
+        self.hold_term()
+        self.apply_budget()
+        self.term_changed.notify()
+        return True
+
+    def hold_term(self) -> None:
+        """Extend the evidence by a lease that was renewed."""
+        if self.row is None:
+            return
+        state = self.leases.state(self.name, self.row.term, self.clock())
+        if state is LeaseState.HELD:
+            until = self.leases.renewed_at + LEASE_SECONDS
+            self.table.evidence.hold_term(until)
+
+    def give_up_lease(self, term: int) -> None:
+        """Promise never again to act for a term or an earlier one.
+
+        Args:
+          term: The term.
+        """
+        self.leases.give_up(self.name, term)
+        evidence = self.table.evidence
+        evidence.term_held_until = min(evidence.term_held_until, self.clock())
+        self.term_changed.notify()
+
+    def observe(
+        self, report: ServerReport, sent_at: float, answered_at: float
+    ) -> None:
+        """Take in the answer to a probe.
+
+        Args:
+          report: What the server answered.
+          sent_at: When the probe was sent.
+          answered_at: When the answer came.
+        """
+        self.table.evidence.observe(report, sent_at, answered_at)
+        load = self.table.loads.get(report.server)
+        if load is not None:
+            elapsed = answered_at - sent_at
+            load.latency += LATENCY_WEIGHT * (elapsed - load.latency)
+        self.evidence_changed.notify()
+
+    def apply_budget(self) -> None:
+        """Give each server's pool its share of the group's connections."""
+        count = max(1, len(self.servers))
+        share = self.ledger.server_share(self.vm, count, self.clock())
+        for name in self.servers:
+            pool = self.pools[name]
+            pool.limit = share
+            pool.warm = min(share, self.spec.slots_per_server)
+
+    def lease_state(self, term: int) -> LeaseState:
+        """Return whether this proxy may act for a term at this moment.
+
+        A proxy that is merely no writer any more holds no lease, but may
+        still prove the term by confirmations.
+
+        Args:
+          term: The term.
+        """
+        state = self.leases.state(self.name, term, self.clock())
+        if state is not LeaseState.CLOSED or self.row is None:
+            return state
+        given_up = self.leases.given_up.get(self.name, 0) >= term
+        open_term = self.row.phase is GroupPhase.ACTIVE
+        if self.row.term == term and open_term and not given_up:
+            return LeaseState.LAPSED
+        return state
+
+    def primary(self) -> OpenPrimary | None:
+        """Return the primary, if it may get statements now."""
+        row = self.row
+        if row is None or row.phase is not GroupPhase.ACTIVE:
+            return None
+        if self.lease_state(row.term) is LeaseState.CLOSED:
+            return None
+        if row.primary not in self.pools:
+            return None
+        return OpenPrimary(row.primary, row.term)
+
+    async def wait_for_primary(self, deadline: float) -> OpenPrimary | NotRun:
+        """Return the primary, waiting a while for a promotion to finish.
+
+        Args:
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        primary = self.primary()
+        if primary is not None:
+            return primary
+        if self.failover_waiters >= MAX_FAILOVER_WAITERS:
+            return no_primary("too many statements wait for a primary")
+        self.failover_waiters += 1
+        try:
+            return await self._await_primary(deadline)
+        finally:
+            self.failover_waiters -= 1
+
+    async def active_row_above(
+        self, term: int, deadline: float
+    ) -> GroupRow | None:
+        """Return the row of an open term above one, or None at the deadline.
+
+        Args:
+          term: The closed term.
+          deadline: When to give up, on the monotonic clock.
+        """
+        while True:
+            row = self.row
+            active = row is not None and row.phase is GroupPhase.ACTIVE
+            if row is not None and active and row.term > term:
+                return row
+            remaining = deadline - self.clock()
+            if remaining <= 0:
+                return None
+            await self.term_changed.wait(remaining)
+
+    def replicas(self) -> tuple[str, ...]:
+        """Return the servers other than the primary."""
+        primary = self.row.primary if self.row else ""
+        return tuple(name for name in self.servers if name != primary)
+
+    async def _await_primary(self, deadline: float) -> OpenPrimary | NotRun:
+        until = min(deadline, self.clock() + FAILOVER_WAIT_SECONDS)
+        while True:
+            remaining = until - self.clock()
+            if remaining <= 0:
+                return no_primary("no primary is open for writes")
+            await self.term_changed.wait(remaining)
+            primary = self.primary()
+            if primary is not None:
+                return primary
+
+    def _ensure_connections(self, server: ServerSpec) -> None:
+        known = self.pools.get(server.name)
+        if known is not None and _same_address(known.endpoint, server):
+            known.draining = server.state is ServerState.LEAVING
+            return
+        if known is not None:
+            known.drain()
+        endpoint = Endpoint(
+            server.name,
+            server.host,
+            server.port,
+            self.name,
+            self.user,
+            self.password,
+        )
+        pool = ServerPool(endpoint, limit=0, warm=0, on_drop=self.on_drop)
+        pool.start()
+        self.pools[server.name] = pool
+        self.controls[server.name] = MysqlControl(endpoint)
+
+    def _budget(self) -> int:
+        control = CONTROL_CONNECTIONS * HOME_SEATS * max(1, len(self.servers))
+        return max(HOME_SEATS, self.spec.connection_limit - control)
+
+
+def no_primary(detail: str) -> NotRun:
+    """Return the refusal for want of a primary.
+
+    Args:
+      detail: A sentence for people.
+    """
+    return NotRun(NotRunReason.NO_PRIMARY, detail, NO_PRIMARY_RETRY_MS)
+
+
+def _same_address(endpoint: Endpoint, server: ServerSpec) -> bool:
+    return (endpoint.host, endpoint.port) == (server.host, server.port)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
@@ -0,0 +1,250 @@
+"""One database group on one of its home proxies."""
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+from jackdawcrank.execution.acknowledger import Acknowledger
+from jackdawcrank.execution.admission_gate import AdmissionGate
+from jackdawcrank.execution.counters import GroupCounters
+from jackdawcrank.execution.group_state import DropListener, GroupState
+from jackdawcrank.execution.read_path import ReadPath
+from jackdawcrank.execution.request_records import RequestRecords
+from jackdawcrank.execution.statement_runner import StatementRunner
+from jackdawcrank.execution.transactions import Transactions
+from jackdawcrank.execution.write_path import WritePath
+from jackdawcrank.front.values import single_text
+from jackdawcrank.results import result_error
+from jackdawcrank_policy.admission import GroupAdmission
+from jackdawcrank_policy.budget import writer_names
+from jackdawcrank_policy.lease import LeaseTable
+from jackdawcrank_policy.requests import RequestResult
+from jackdawcrank_policy.requests.request_record import RequestRecord
+from jackdawcrank_policy.values import (
+    CallerClassSpec,
+    GroupRow,
+    GroupSpec,
+    NotRun,
+    NotRunReason,
+    Position,
+    ServerReport,
+    ServerSpec,
+)
+from jackdawcrank_wire.messages import (
+    ResultError,
+    ResultOk,
+    StatementKind,
+    StatementOutcome,
+    StatementRequest,
+    StatementResult,
+)
+
+PROBE_SECONDS = 1.0
+
+
+class HomeGroup:
+    """Serves a group's statements on this VM.
+
+    Attributes:
+      state: What is known and held of the group.
+      counters: Counts of outcomes.
+      transactions: The open transactions.
+      in_flight: Statements that are being served.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        spec: GroupSpec,
+        leases: LeaseTable,
+        clock: Callable[[], float],
+        rng: random.Random,
+        user: str,
+        password: str,
+        on_drop: DropListener,
+    ) -> None:
+        self.state = GroupState(
+            vm, spec, leases, clock, rng, user, password, on_drop
+        )
+        self.counters = GroupCounters()
+        self.in_flight = 0
+        self.classes: Mapping[str, CallerClassSpec] = {}
+        self.gate = AdmissionGate(GroupAdmission(limit=1), clock)
+        runner = StatementRunner(self.state)
+        acknowledger = Acknowledger(self.state)
+        self.records = RequestRecords(self.state, runner, acknowledger)
+        self.reads = ReadPath(
+            self.state, self.gate, runner, acknowledger, self.counters
+        )
+        parts = (self.state, self.gate, runner, acknowledger, self.records)
+        self.writes = WritePath(*parts, self.counters)
+        self.transactions = Transactions(*parts, self.counters)
+
+    def start(self, servers: Sequence[ServerSpec]) -> None:
+        """Open connections.
+
+        Args:
+          servers: The group's declared servers.
+        """
+        self.state.start(servers)
+        self._follow_slots()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        self.transactions.close_all()
+        await self.state.close()
+
+    def set_spec(self, spec: GroupSpec) -> None:
+        """Follow a change of the declared group.
+
+        Args:
+          spec: The new declaration.
+        """
+        self.state.set_spec(spec)
+        self._follow_slots()
+
+    def set_servers(self, servers: Sequence[ServerSpec]) -> None:
+        """Follow a change of the declared servers.
+
+        Args:
+          servers: The new declarations.
+        """
+        for name in self.state.set_servers(servers):
+            self.transactions.close_on_server(name)
+        self._follow_slots()
+
+    def set_row(self, row: GroupRow, version: int) -> None:
+        """Take the group's row.
+
+        Args:
+          row: The row.
+          version: The change log's version that wrote it.
+        """
+        if self.state.set_row(row, version):
+            self._follow_slots()
+
+    def observe(
+        self, report: ServerReport, sent_at: float, answered_at: float
+    ) -> None:
+        """Take in the answer to a probe.
+
+        Args:
+          report: What the server answered.
+          sent_at: When the probe was sent.
+          answered_at: When the answer came.
+        """
+        self.state.observe(report, sent_at, answered_at)
+
+    async def execute(self, request: StatementRequest) -> StatementResult:
+        """Run a statement.
+
+        Args:
+          request: The statement with its options.
+        """
+        deadline = self.state.clock() + request.deadline_ms / 1000
+        self.in_flight += 1
+        try:
+            result = await self._dispatch(request, deadline)
+        finally:
+            self.in_flight -= 1
+        self._count(result)
+        return result
+
+    def tick(self, now: float) -> list[str]:
+        """Do what time asks for; return ids of expired transactions.
+
+        Args:
+          now: The time on the monotonic clock.
+        """
+        self.state.apply_budget()
+        return self.transactions.expire(now)
+
+    async def _dispatch(
+        self, request: StatementRequest, deadline: float
+    ) -> StatementResult:
+        match request.kind:
+            case StatementKind.SHOW_REQUEST:
+                return await self._show_request(request, deadline)
+            case StatementKind.POSITION:
+                return await self._position(request)
+            case StatementKind.END_SESSION:
+                await self.transactions.end_session(request.session_id)
+                return ResultOk()
+        weight = self._weight(request.caller_class)
+        if request.transaction_id:
+            return await self.transactions.run(request, weight, deadline)
+        if request.kind is StatementKind.READ:
+            return await self.reads.run(request, weight, deadline)
+        return await self.writes.run(request, weight, deadline)
+
+    async def _show_request(
+        self, request: StatementRequest, deadline: float
+    ) -> StatementResult:
+        found = await self.records.look_up(request.request_id, deadline)
+        if isinstance(found, NotRun):
+            return result_error(found)
+        return _request_rows(request.request_id, found)
+
+    async def _position(self, request: StatementRequest) -> StatementResult:
+        """Return a position at or above what the session's last read saw."""
+        for server in (request.last_server, self.state.table.primary):
+            control = self.state.controls.get(server)
+            if control is None:
+                continue
+            sent_at = self.state.clock()
+            report = await control.probe(PROBE_SECONDS)
+            if not isinstance(report, ServerReport):
+                continue
+            self.state.observe(report, sent_at, self.state.clock())
+            if self._bounds(report):
+                return ResultOk(position=_newest(report, request))
+        detail = "the position of the last read is not known yet"
+        return result_error(NotRun(NotRunReason.NO_SERVER, detail, 200))
+
+    def _bounds(self, report: ServerReport) -> bool:
+        branch = self.state.table.evidence.branch
+        return report.term == branch.term and branch.keeps(report.position)
+
+    def _weight(self, caller_class: str) -> int:
+        spec = self.classes.get(caller_class)
+        return 1 if spec is None else spec.weight
+
+    def _follow_slots(self) -> None:
+        spec = self.state.spec
+        slots = spec.slots_per_server * len(self.state.serving)
+        row = self.state.row
+        homes = len(writer_names(row.writers)) if row else 1
+        self.gate.set_limit(-(-slots // max(1, homes)))
+
+    def _count(self, result: StatementResult) -> None:
+        if not isinstance(result, ResultError):
+            return
+        match result.outcome:
+            case StatementOutcome.NOT_RUN:
+                self.counters.refused += 1
+            case StatementOutcome.FAILED:
+                self.counters.failed += 1
+            case StatementOutcome.UNKNOWN:
+                self.counters.unknown += 1
+
+
+def _newest(report: ServerReport, request: StatementRequest) -> Position:
+    if not request.token:
+        return report.position
+    token = Position.parse(request.token)
+    return max(token, report.position, key=lambda p: (p.offset, p.term))
+
+
+def _request_rows(
+    request_id: str, record: RequestRecord | None
+) -> StatementResult:
+    names = ("request_id", "outcome", "affected_rows", "last_insert_id")
+    if record is None:
+        return single_text(names, ((request_id, "not_found", "", ""),))
+    result: RequestResult = record.result
+    values = (
+        request_id,
+        "done",
+        str(result.affected_rows),
+        str(result.last_insert_id),
+    )
+    return single_text(names, (values,))
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/read_path.py
@@ -0,0 +1,273 @@
+"""The way of a read outside a transaction."""
+
+import asyncio
+
+from jackdawcrank.backend.answer import ErrorAnswer, LostAnswer, RowsAnswer
+from jackdawcrank.execution.acknowledger import Acknowledger, ReadVerdict
+from jackdawcrank.execution.admission_gate import AdmissionGate
+from jackdawcrank.execution.counters import GroupCounters
+from jackdawcrank.execution.group_state import GroupState
+from jackdawcrank.execution.statement_runner import (
+    NotStarted,
+    StatementRunner,
+)
+from jackdawcrank.results import result_error, result_from_answer
+from jackdawcrank_policy.freshness import answer_stands
+from jackdawcrank_policy.routing import (
+    ReadRequest,
+    Refuse,
+    SessionReads,
+    ToPrimary,
+    ToServer,
+    WaitForReplica,
+)
+from jackdawcrank_policy.values import (
+    NotRun,
+    NotRunReason,
+    Position,
+    ServerReport,
+)
+from jackdawcrank_wire.messages import (
+    ResultError,
+    StatementOutcome,
+    StatementRequest,
+    StatementResult,
+)
+
+READ_ONLY_CODE = 1290
+MAX_ATTEMPTS = 4
+PROBE_SECONDS = 0.5
+PRIMARY_RETRY_SECONDS = 0.02
+
+
+class ReadPath:
+    """Runs reads on replicas where that is right, else on the primary.
+
+    Attributes:
+      state: The group.
+      gate: The group's admission.
+      runner: Runs statements.
+      acknowledger: Judges the primary's answers.
+      counters: Counts where reads were served.
+    """
+
+    def __init__(
+        self,
+        state: GroupState,
+        gate: AdmissionGate,
+        runner: StatementRunner,
+        acknowledger: Acknowledger,
+        counters: GroupCounters,
+    ) -> None:
+        self.state = state
+        self.gate = gate
+        self.runner = runner
+        self.acknowledger = acknowledger
+        self.counters = counters
+
+    async def run(
+        self, request: StatementRequest, weight: int, deadline: float
+    ) -> StatementResult:
+        """Run a read and return its result.
+
+        Args:
+          request: The statement with its options.
+          weight: The caller class's weight.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        wanted = self._wanted(request, deadline)
+        waited = await self._wait_for_replica(wanted)
+        if isinstance(waited, Refuse):
+            return result_error(waited.outcome)
+        ticket = await self.gate.enter(
+            request.caller, request.caller_class, weight, deadline
+        )
+        if isinstance(ticket, NotRun):
+            return result_error(ticket)
+        try:
+            return await self._attempts(request, wanted, deadline)
+        finally:
+            self.gate.leave(ticket)
+
+    def _wanted(
+        self, request: StatementRequest, deadline: float
+    ) -> ReadRequest:
+        max_age_ms = request.max_age_ms
+        if max_age_ms is None and not request.token:
+            max_age_ms = self.state.spec.default_max_age_ms
+        token = Position.parse(request.token) if request.token else None
+        return ReadRequest(
+            group=request.group,
+            deadline=deadline,
+            token_position=token,
+            max_age_ms=max_age_ms,
+            hold=self._session_reads(request).hold(
+                request.group, self.state.table.evidence
+            ),
+        )
+
+    def _session_reads(self, request: StatementRequest) -> SessionReads:
+        reads = SessionReads()
+        if request.last_server and request.last_read_age_ms is not None:
+            # The age counts from the entry proxy, so it is at least the true
+            # one, and the instant is at most too late, which is safe.
+            age = request.last_read_age_ms / 1000
+            reads.record(
+                request.group,
+                request.last_server,
+                self.state.clock() - age,
+                request.last_read_term,
+            )
+        return reads
+
+    async def _wait_for_replica(self, wanted: ReadRequest) -> Refuse | None:
+        """Wait while a replica should soon reach the token."""
+        first = True
+        until = 0.0
+        while True:
+            choice = self._choose(wanted)
+            if isinstance(choice, Refuse):
+                return choice
+            if not isinstance(choice, WaitForReplica):
+                return None
+            if first:
+                self.counters.replica_waits += 1
+                until = choice.until
+                first = False
+            remaining = until - self.state.clock()
+            if remaining <= 0:
+                return None
+            await self.state.evidence_changed.wait(remaining)
+
+    def _choose(
+        self, wanted: ReadRequest
+    ) -> ToServer | ToPrimary | WaitForReplica | Refuse:
+        return self.state.table.choose(
+            wanted, self.state.clock(), self.state.rng
+        )
+
+    async def _attempts(
+        self, request: StatementRequest, wanted: ReadRequest, deadline: float
+    ) -> StatementResult:
+        result: StatementResult | None = None
+        for _ in range(MAX_ATTEMPTS):
+            choice = self._choose(wanted)
+            if isinstance(choice, Refuse):
+                return result_error(choice.outcome)
+            if isinstance(choice, ToServer):
+                result = await self._on_replica(
+                    request, wanted, choice, deadline
+                )
+                if result is not None:
+                    return result
+                if not request.repeatable:
+                    break
+            else:
+                break
+            if self.state.clock() >= deadline:
+                break
+        return await self._on_primary(request, deadline)
+
+    async def _on_replica(
+        self,
+        request: StatementRequest,
+        wanted: ReadRequest,
+        choice: ToServer,
+        deadline: float,
+    ) -> StatementResult | None:
+        """Return a replica's result, or None if it must not be used."""
+        branch = self.state.table.evidence.branch
+        answer = await self.runner.run(choice.server, request, deadline)
+        answered_at = self.state.clock()
+        if isinstance(answer, NotStarted | LostAnswer):
+            return None
+        if isinstance(answer, ErrorAnswer) and answer.code == READ_ONLY_CODE:
+            return None
+        if self._too_old(wanted, choice, answered_at):
+            self.counters.late_answers += 1
+            return None
+        bound = wanted.token_position
+        if not await self._stands(choice.server, branch, bound, answered_at):
+            return None
+        self.counters.replica_reads += 1
+        return result_from_answer(answer, choice.server, branch.term)
+
+    def _too_old(
+        self, wanted: ReadRequest, choice: ToServer, answered_at: float
+    ) -> bool:
+        if wanted.max_age_ms is None:
+            return False
+        newer = self.state.table.evidence.complete_as_of(choice.server)
+        known = [t for t in (newer, choice.complete_as_of) if t is not None]
+        if not known:
+            return True
+        return answered_at - max(known) > wanted.max_age_ms / 1000
+
+    async def _stands(
+        self,
+        server: str,
+        branch: object,
+        bound: Position | None,
+        answered_at: float,
+    ) -> bool:
+        evidence = self.state.table.evidence
+        if branch != evidence.branch:
+            return False
+        if answer_stands(evidence, server, evidence.branch, bound, answered_at):
+            return True
+        await self._probe(server)
+        return branch == evidence.branch and answer_stands(
+            evidence, server, evidence.branch, bound, answered_at
+        )
+
+    async def _probe(self, server: str) -> None:
+        sent_at = self.state.clock()
+        report = await self.state.controls[server].probe(PROBE_SECONDS)
+        if isinstance(report, ServerReport):
+            self.state.observe(report, sent_at, self.state.clock())
+
+    async def _on_primary(
+        self, request: StatementRequest, deadline: float
+    ) -> StatementResult:
+        while True:
+            result = await self._once_on_primary(request, deadline)
+            if result is not None:
+                return result
+            if not request.repeatable:
+                return _in_doubt()
+            await asyncio.sleep(PRIMARY_RETRY_SECONDS)
+            if self.state.clock() >= deadline:
+                return result_error(
+                    NotRun(NotRunReason.DEADLINE, "no primary answered in time")
+                )
+
+    async def _once_on_primary(
+        self, request: StatementRequest, deadline: float
+    ) -> StatementResult | None:
+        primary = await self.state.wait_for_primary(deadline)
+        if isinstance(primary, NotRun):
+            return result_error(primary)
+        answer = await self.runner.run(primary.server, request, deadline)
+        if isinstance(answer, NotStarted):
+            return result_error(
+                NotRun(NotRunReason.NO_SERVER, answer.detail, 200)
+            )
+        if isinstance(answer, LostAnswer):
+            return None
+        if isinstance(answer, RowsAnswer):
+            verdict = await self.acknowledger.read(
+                primary.server, primary.term, deadline
+            )
+            if verdict is ReadVerdict.READ_AGAIN:
+                return None
+        self.counters.primary_reads += 1
+        return result_from_answer(answer, primary.server, primary.term)
+
+
+def _in_doubt() -> ResultError:
+    return ResultError(
+        StatementOutcome.UNKNOWN,
+        "in_doubt",
+        sqlstate="08007",
+        message="the answer to a statement that must not repeat was lost",
+    )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/request_records.py
@@ -0,0 +1,239 @@
+"""Runs writes that carry a request id, and looks their records up."""
+
+import asyncio
+import time
+
+from jackdawcrank.backend.answer import (
+    ErrorAnswer,
+    LinkAnswer,
+    LostAnswer,
+    OkAnswer,
+    RowsAnswer,
+)
+from jackdawcrank.backend.server_link import ServerLink
+from jackdawcrank.execution.acknowledger import Acknowledger, ReadVerdict
+from jackdawcrank.execution.group_state import GroupState, no_primary
+from jackdawcrank.execution.statement_runner import (
+    NotStarted,
+    StatementRunner,
+)
+from jackdawcrank_policy.requests import (
+    CREATE_TABLE,
+    ConnectionLost,
+    Executed,
+    RequestExecution,
+    RequestStep,
+    ServerError,
+    Statement,
+    StatementDone,
+    StatementReply,
+    digest_statement,
+)
+from jackdawcrank_policy.requests.request_record import (
+    INSERT_RECORD,
+    SELECT_RECORD,
+    RequestRecord,
+)
+from jackdawcrank_policy.values import Failed, NotRun, Unknown
+from jackdawcrank_wire.messages import StatementRequest
+
+DUPLICATE_KEY = 1062
+NO_SUCH_TABLE = 1146
+SETTLE_SECONDS = 2.0
+SETTLE_PAUSE_SECONDS = 0.1
+COMMIT_DIGEST_TEXT = "COMMIT"
+
+
+def render(statement: Statement) -> str:
+    """Return a statement with its parameters in place.
+
+    Args:
+      statement: The statement; its texts hold no quotes or backslashes.
+    """
+    if not statement.parameters:
+        return statement.sql
+    values = tuple(
+        str(value) if isinstance(value, int) else f"'{value}'"
+        for value in statement.parameters
+    )
+    return statement.sql % values
+
+
+def reply_from(answer: LinkAnswer) -> StatementReply:
+    """Return what a connection's answer means to an execution.
+
+    Args:
+      answer: The answer.
+    """
+    match answer:
+        case OkAnswer():
+            return StatementDone(
+                affected_rows=answer.affected_rows,
+                last_insert_id=answer.last_insert_id,
+                position=answer.position,
+            )
+        case RowsAnswer():
+            rows = tuple(_texts(row) for row in answer.rows)
+            return StatementDone(rows=rows)
+        case ErrorAnswer():
+            return ServerError(answer.code, answer.sqlstate, answer.message)
+        case LostAnswer():
+            return ConnectionLost(answer.detail)
+
+
+class RequestRecords:
+    """A group's request records on the primary.
+
+    Attributes:
+      state: The group.
+      runner: Takes connections.
+      acknowledger: Judges the primary's answers.
+    """
+
+    def __init__(
+        self,
+        state: GroupState,
+        runner: StatementRunner,
+        acknowledger: Acknowledger,
+    ) -> None:
+        self.state = state
+        self.runner = runner
+        self.acknowledger = acknowledger
+
+    async def execute(
+        self,
+        link: ServerLink,
+        request: StatementRequest,
+        implicit_commit: bool,
+        deadline: float,
+    ) -> Executed | NotRun | Failed | Unknown:
+        """Run a write together with its record on one connection.
+
+        Args:
+          link: A connection to the primary.
+          request: The write.
+          implicit_commit: Whether the statement commits by itself.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        sql = request.sql.decode()
+        execution = RequestExecution(
+            request.request_id,
+            digest_statement(sql),
+            sql,
+            int(time.time()),
+            implicit_commit,
+        )
+        link.dirty = True
+        step: Statement | Executed | NotRun | Failed | Unknown
+        step = execution.start()
+        while isinstance(step, Statement):
+            remaining = self.runner.remaining(deadline)
+            answer = await link.run(render(step), remaining)
+            step = execution.on(reply_from(answer))
+        if not isinstance(step, Executed):
+            link.close()
+        return step
+
+    async def insert_for_commit(
+        self, link: ServerLink, request_id: str, deadline: float
+    ) -> LinkAnswer:
+        """Record a request id in an open transaction.
+
+        Args:
+          link: The transaction's connection.
+          request_id: The request id of the COMMIT.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        digest = digest_statement(COMMIT_DIGEST_TEXT)
+        parameters = (request_id, digest, int(time.time()))
+        sql = render(_insert(parameters))
+        answer = await link.run(sql, self.runner.remaining(deadline))
+        missing = isinstance(answer, ErrorAnswer) and (
+            answer.code == NO_SUCH_TABLE
+        )
+        if missing and await self._create_table(link.server, deadline):
+            return await link.run(sql, self.runner.remaining(deadline))
+        return answer
+
+    async def look_up(
+        self, request_id: str, deadline: float
+    ) -> RequestRecord | None | NotRun:
+        """Return the record of a request on the open term, if it has one.
+
+        Args:
+          request_id: The request id.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        while True:
+            primary = await self.state.wait_for_primary(deadline)
+            if isinstance(primary, NotRun):
+                return primary
+            answer = await self._select(primary.server, request_id, deadline)
+            verdict = await self.acknowledger.read(
+                primary.server, primary.term, deadline
+            )
+            stands = verdict is ReadVerdict.STANDS
+            if stands and isinstance(answer, RowsAnswer | ErrorAnswer):
+                return _record(answer)
+            if self.state.clock() >= deadline:
+                return no_answer()
+            await asyncio.sleep(SETTLE_PAUSE_SECONDS)
+
+    async def settle(
+        self, request_id: str, deadline: float
+    ) -> RequestRecord | None:
+        """Look for a record that a lost answer may have left behind.
+
+        Args:
+          request_id: The request id.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        until = min(deadline, self.state.clock() + SETTLE_SECONDS)
+        while self.state.clock() < until:
+            found = await self.look_up(request_id, until)
+            if isinstance(found, RequestRecord):
+                return found
+            await asyncio.sleep(SETTLE_PAUSE_SECONDS)
+        return None
+
+    async def _select(
+        self, server: str, request_id: str, deadline: float
+    ) -> LinkAnswer | NotStarted:
+        link = await self.runner.acquire(server, (), deadline)
+        if isinstance(link, NotStarted):
+            return link
+        try:
+            sql = SELECT_RECORD % f"'{request_id}'"
+            return await link.run(sql, self.runner.remaining(deadline))
+        finally:
+            self.state.pools[server].release(link)
+
+    async def _create_table(self, server: str, deadline: float) -> bool:
+        link = await self.runner.acquire(server, (), deadline)
+        if isinstance(link, NotStarted):
+            return False
+        try:
+            remaining = self.runner.remaining(deadline)
+            answer = await link.run(CREATE_TABLE, remaining)
+            return isinstance(answer, OkAnswer)
+        finally:
+            self.state.pools[server].release(link)
+
+
+def no_answer() -> NotRun:
+    """Return the refusal of a look-up that found no primary in time."""
+    return no_primary("no primary answered in time")
+
+
+def _insert(parameters: tuple[str | int, ...]) -> Statement:
+    return Statement(RequestStep.INSERT, INSERT_RECORD, parameters)
+
+
+def _record(answer: RowsAnswer | ErrorAnswer) -> RequestRecord | None:
+    if isinstance(answer, ErrorAnswer) or not answer.rows:
+        return None
+    return RequestRecord.from_row(_texts(answer.rows[0]))
+
+
+def _texts(row: tuple[bytes | None, ...]) -> tuple[object, ...]:
+    return tuple(v if v is None else v.decode() for v in row)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/signal.py
@@ -0,0 +1,29 @@
+"""Wakes everybody who waits for a change."""
+
+import asyncio
+
+
+class Signal:
+    """A change that can be awaited again and again."""
+
+    def __init__(self) -> None:
+        self.event = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake everybody who waits now."""
+        self.event.set()
+        self.event = asyncio.Event()
+
+    async def wait(self, timeout_seconds: float) -> bool:
+        """Wait for the next change; return whether it came in time.
+
+        Args:
+          timeout_seconds: The longest that this may take.
+        """
+        event = self.event
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await event.wait()
+        except TimeoutError:
+            return False
+        return True
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
@@ -0,0 +1,104 @@
+"""Runs one statement outside a transaction on one server."""
+
+import attrs
+
+from jackdawcrank.backend.answer import (
+    ErrorAnswer,
+    LinkAnswer,
+    LostAnswer,
+)
+from jackdawcrank.backend.server_link import ServerLink
+from jackdawcrank.execution.group_state import GroupState
+from jackdawcrank_wire.messages import StatementRequest
+
+SETUP_TIMEOUT_SECONDS = 1.0
+ACQUIRE_SECONDS = 2.5
+
+
+@attrs.frozen
+class NotStarted:
+    """No byte of the statement was sent.
+
+    Attributes:
+      detail: A sentence for people.
+    """
+
+    detail: str
+
+
+class StatementRunner:
+    """Takes a connection, prepares it, runs a statement, gives it back.
+
+    Attributes:
+      state: The group.
+    """
+
+    def __init__(self, state: GroupState) -> None:
+        self.state = state
+
+    async def run(
+        self, server: str, request: StatementRequest, deadline: float
+    ) -> LinkAnswer | NotStarted:
+        """Run a request's statement on a server.
+
+        Args:
+          server: The server's name.
+          request: The statement with its options.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        link = await self.acquire(server, request.setup, deadline)
+        if isinstance(link, NotStarted):
+            return link
+        load = self.state.table.loads.get(server)
+        started = self.state.clock()
+        answer: LinkAnswer = LostAnswer(True, "cancelled")
+        if load is not None:
+            load.start()
+        try:
+            answer = await link.run(request.sql, self.remaining(deadline))
+            return answer
+        finally:
+            self.state.pools[server].release(link)
+            if load is not None:
+                now = self.state.clock()
+                lost = isinstance(answer, LostAnswer)
+                load.finish(now - started, lost, now)
+
+    async def acquire(
+        self, server: str, setup: tuple[str, ...], deadline: float
+    ) -> ServerLink | NotStarted:
+        """Return a prepared connection to a server.
+
+        Args:
+          server: The server's name.
+          setup: Statements that set session variables.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        pool = self.state.pools[server]
+        timeout = min(ACQUIRE_SECONDS, self.remaining(deadline))
+        link = await pool.acquire(timeout)
+        if not isinstance(link, ServerLink):
+            self._count_failure(server)
+            return NotStarted(link.detail)
+        for statement in setup:
+            link.dirty = True
+            answer = await link.run(statement, SETUP_TIMEOUT_SECONDS)
+            if isinstance(answer, ErrorAnswer | LostAnswer):
+                pool.release(link)
+                return NotStarted(f"{statement}: {answer}")
+        return link
+
+    def remaining(self, deadline: float) -> float:
+        """Return the seconds that a statement may still take.
+
+        Args:
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        limit = self.state.spec.statement_timeout_ms / 1000
+        return max(0.001, min(limit, deadline - self.state.clock()))
+
+    def _count_failure(self, server: str) -> None:
+        load = self.state.table.loads.get(server)
+        if load is not None:
+            load.start()
+            load.finish(0.0, True, self.state.clock())
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
@@ -0,0 +1,417 @@
+"""Transactions that sessions have open on a home proxy."""
+
+import asyncio
+
+import attrs
+
+from jackdawcrank.backend.answer import (
+    ErrorAnswer,
+    LinkAnswer,
+    LostAnswer,
+    OkAnswer,
+    RowsAnswer,
+)
+from jackdawcrank.backend.server_link import ServerLink
+from jackdawcrank.execution.acknowledger import Acknowledger, ReadVerdict
+from jackdawcrank.execution.admission_gate import AdmissionGate
+from jackdawcrank.execution.counters import GroupCounters
+from jackdawcrank.execution.group_state import GroupState
+from jackdawcrank.execution.open_primary import OpenPrimary
+from jackdawcrank.execution.request_records import (
+    DUPLICATE_KEY,
+    RequestRecords,
+)
+from jackdawcrank.execution.statement_runner import (
+    NotStarted,
+    StatementRunner,
+)
+from jackdawcrank.results import result_error, result_from_answer
+from jackdawcrank.results.answers import failed
+from jackdawcrank_policy.values import (
+    Done,
+    Failed,
+    NotRun,
+    NotRunReason,
+    Unknown,
+)
+from jackdawcrank_wire.messages import (
+    ResultError,
+    ResultOk,
+    StatementKind,
+    StatementOutcome,
+    StatementRequest,
+    StatementResult,
+)
+
+ROLLED_BACK_CODES = frozenset({1205, 1213, 1290, 3024})
+ROLLED_BACK_CODE = 1213
+ROLLED_BACK_STATE = "40001"
+ROLLBACK_SECONDS = 1.0
+NO_SERVER_RETRY_MS = 200
+
+
+@attrs.define(eq=False)
+class OpenTransaction:
+    """A transaction on a backend connection of its own.
+
+    Attributes:
+      transaction_id: The session's id of it.
+      session_id: The session.
+      link: The connection.
+      primary: The server and term that it runs on.
+      opened_at: When it was opened, on the monotonic clock.
+      wrote: Whether any of its statements may have written.
+      lock: Held while a statement runs.
+    """
+
+    transaction_id: str
+    session_id: str
+    link: ServerLink
+    primary: OpenPrimary
+    opened_at: float
+    wrote: bool = False
+    lock: asyncio.Lock = attrs.Factory(asyncio.Lock)
+
+
+class Transactions:
+    """Opens, serves and ends transactions.
+
+    Attributes:
+      state: The group.
+      open: The open transactions by id.
+    """
+
+    def __init__(
+        self,
+        state: GroupState,
+        gate: AdmissionGate,
+        runner: StatementRunner,
+        acknowledger: Acknowledger,
+        records: RequestRecords,
+        counters: GroupCounters,
+    ) -> None:
+        self.state = state
+        self.gate = gate
+        self.runner = runner
+        self.acknowledger = acknowledger
+        self.records = records
+        self.counters = counters
+        self.open: dict[str, OpenTransaction] = {}
+
+    async def run(
+        self, request: StatementRequest, weight: int, deadline: float
+    ) -> StatementResult:
+        """Run a statement of a transaction, opening it if need be.
+
+        Args:
+          request: The statement with its options.
+          weight: The caller class's weight.
+          deadline: When the caller gives up, on the monotonic clock.
+        """
+        transaction = self.open.get(request.transaction_id)
+        if transaction is None:
+            return await self._open_and_run(request, weight, deadline)
+        ticket = self.gate.enter_at_once(request.caller)
+        try:
+            async with transaction.lock:
+                return await self._serve(transaction, request, deadline)
+        finally:
+            self.gate.leave(ticket)
+
+    async def end_session(self, session_id: str) -> None:
+        """Roll back whatever a session has open.
+
+        Args:
+          session_id: The session.
+        """
+        for transaction in tuple(self.open.values()):
+            if transaction.session_id == session_id:
+                await self._roll_back(transaction)
+
+    def end_sessions_of(self, prefix: str) -> None:
+        """Close the transactions of all sessions of a lost entry proxy.
+
+        Args:
+          prefix: What the ids of its sessions begin with.
+        """
+        for transaction in tuple(self.open.values()):
+            if transaction.session_id.startswith(prefix):
+                self._close(transaction)
+
+    def expire(self, now: float) -> list[str]:
+        """Close transactions that are open for too long; return their ids.
+
+        Args:
+          now: The time on the monotonic clock.
+        """
+        limit = self.state.spec.transaction_timeout_ms / 1000
+        expired = [t for t in self.open.values() if now - t.opened_at > limit]
+        for transaction in expired:
+            self._close(transaction)
+        return [transaction.transaction_id for transaction in expired]
+
+    def close_on_server(self, server: str) -> int:
+        """Close the transactions on a server; return how many there were.
+
+        Args:
+          server: The server's name.
+        """
+        found = [t for t in self.open.values() if t.primary.server == server]
+        for transaction in found:
+            self._close(transaction)
+        return len(found)
+
+    def close_all(self) -> None:
+        """Close every transaction."""
+        for transaction in tuple(self.open.values()):
+            self._close(transaction)
+
+    async def _open_and_run(
+        self, request: StatementRequest, weight: int, deadline: float
+    ) -> StatementResult:
+        if request.kind is StatementKind.ROLLBACK:
+            return ResultOk()
+        if request.kind is StatementKind.COMMIT:
+            return lost_transaction("this proxy does not hold it")
+        ticket = await self.gate.enter(
+            request.caller, request.caller_class, weight, deadline
+        )
+        if isinstance(ticket, NotRun):
+            return result_error(ticket)
+        try:
+            transaction = await self._begin(request, deadline)
+            if isinstance(transaction, NotRun):
+                return result_error(transaction)
+            async with transaction.lock:
+                return await self._serve(transaction, request, deadline)
+        finally:
+            self.gate.leave(ticket)
+
+    async def _begin(
+        self, request: StatementRequest, deadline: float
+    ) -> OpenTransaction | NotRun:
+        primary = await self.state.wait_for_primary(deadline)
+        if isinstance(primary, NotRun):
+            return primary
+        link = await self.runner.acquire(
+            primary.server, request.setup, deadline
+        )
+        if isinstance(link, NotStarted):
+            return NotRun(
+                NotRunReason.NO_SERVER, link.detail, NO_SERVER_RETRY_MS
+            )
+        link.dirty = True
+        answer: LinkAnswer = LostAnswer(False, "cancelled")
+        try:
+            answer = await link.run("BEGIN", self.runner.remaining(deadline))
+        finally:
+            if not isinstance(answer, OkAnswer):
+                link.close()
+                self.state.pools[primary.server].release(link)
+        if not isinstance(answer, OkAnswer):
+            detail = f"no transaction could be opened: {answer}"
+            return NotRun(NotRunReason.NO_SERVER, detail, NO_SERVER_RETRY_MS)
+        transaction = OpenTransaction(
+            request.transaction_id,
+            request.session_id,
+            link,
+            primary,
+            self.state.clock(),
+        )
+        self.open[request.transaction_id] = transaction
+        return transaction
+
+    async def _serve(
+        self,
+        transaction: OpenTransaction,
+        request: StatementRequest,
+        deadline: float,
+    ) -> StatementResult:
+        if transaction.transaction_id not in self.open:
+            return lost_transaction("it was closed before this statement")
+        try:
+            match request.kind:
+                case StatementKind.COMMIT:
+                    return await self._commit(transaction, request, deadline)
+                case StatementKind.ROLLBACK:
+                    return await self._roll_back(transaction)
+                case _:
+                    return await self._statement(transaction, request, deadline)
+        except asyncio.CancelledError:
+            self._close(transaction)
+            raise
+
+    async def _statement(
+        self,
+        transaction: OpenTransaction,
+        request: StatementRequest,
+        deadline: float,
+    ) -> StatementResult:
+        if request.kind is StatementKind.WRITE:
+            transaction.wrote = True
+        answer = await transaction.link.run(
+            request.sql, self.runner.remaining(deadline)
+        )
+        if isinstance(answer, LostAnswer):
+            self._close(transaction)
+            if request.sql[:4].lower() == b"call":
+                return result_error(Unknown(answer.detail))
+            return lost_transaction(answer.detail)
+        if isinstance(answer, ErrorAnswer):
+            return await self._statement_failed(transaction, answer)
+        if not await self._rows_stand(transaction, answer, deadline):
+            self._close(transaction)
+            return lost_transaction("the primary was replaced")
+        primary = transaction.primary
+        result = result_from_answer(answer, primary.server, primary.term)
+        return self._still_open(transaction, result)
+
+    async def _statement_failed(
+        self, transaction: OpenTransaction, answer: ErrorAnswer
+    ) -> StatementResult:
+        result = result_error(failed(answer))
+        if answer.code in ROLLED_BACK_CODES:
+            await self._roll_back(transaction)
+            return result
+        return self._still_open(transaction, result)
+
+    async def _rows_stand(
+        self,
+        transaction: OpenTransaction,
+        answer: LinkAnswer,
+        deadline: float,
+    ) -> bool:
+        if not isinstance(answer, RowsAnswer):
+            return True
+        primary = transaction.primary
+        verdict = await self.acknowledger.read(
+            primary.server, primary.term, deadline
+        )
+        return verdict is ReadVerdict.STANDS
+
+    async def _commit(
+        self,
+        transaction: OpenTransaction,
+        request: StatementRequest,
+        deadline: float,
+    ) -> StatementResult:
+        if request.request_id:
+            recorded = await self._record(transaction, request, deadline)
+            if recorded is not None:
+                return recorded
+        answer = await transaction.link.run(
+            "COMMIT", self.runner.remaining(deadline)
+        )
+        outcome = await self._judge_commit(transaction, answer, deadline)
+        self._finish(transaction)
+        if isinstance(outcome, ResultError) and request.request_id:
+            return await self._settle(outcome, request, deadline)
+        return outcome
+
+    async def _judge_commit(
+        self,
+        transaction: OpenTransaction,
+        answer: LinkAnswer,
+        deadline: float,
+    ) -> StatementResult:
+        if isinstance(answer, ErrorAnswer):
+            transaction.link.close()
+            if answer.code in ROLLED_BACK_CODES:
+                return result_error(failed(answer))
+            return result_error(Unknown(f"COMMIT: {answer.message}"))
+        if isinstance(answer, LostAnswer):
+            return result_error(Unknown(answer.detail))
+        assert isinstance(answer, OkAnswer)
+        verdict = await self._verdict(transaction, answer, deadline)
+        if not isinstance(verdict, Done):
+            return result_error(verdict)
+        if answer.position is not None:
+            self.counters.writes += 1
+        return ResultOk(
+            position=answer.position, server=transaction.primary.server
+        )
+
+    async def _verdict(
+        self,
+        transaction: OpenTransaction,
+        answer: OkAnswer,
+        deadline: float,
+    ) -> Done | Failed | Unknown:
+        if answer.position is not None:
+            return await self.acknowledger.write(answer.position, deadline)
+        primary = transaction.primary
+        verdict = await self.acknowledger.read(
+            primary.server, primary.term, deadline
+        )
+        if verdict is ReadVerdict.STANDS:
+            return Done()
+        return Failed(
+            ROLLED_BACK_CODE, ROLLED_BACK_STATE, "the primary was replaced"
+        )
+
+    async def _record(
+        self,
+        transaction: OpenTransaction,
+        request: StatementRequest,
+        deadline: float,
+    ) -> StatementResult | None:
+        """Record the request id; return a result if that ends it all."""
+        answer = await self.records.insert_for_commit(
+            transaction.link, request.request_id, deadline
+        )
+        if isinstance(answer, OkAnswer):
+            return None
+        await self._roll_back(transaction)
+        if isinstance(answer, ErrorAnswer) and answer.code == DUPLICATE_KEY:
+            self.counters.repeats += 1
+            found = await self.records.look_up(request.request_id, deadline)
+            if isinstance(found, NotRun):
+                return result_error(Unknown(found.detail))
+            return ResultOk()
+        return lost_transaction(f"its request id was not recorded: {answer}")
+
+    async def _settle(
+        self, doubt: ResultError, request: StatementRequest, deadline: float
+    ) -> StatementResult:
+        if doubt.outcome is not StatementOutcome.UNKNOWN:
+            return doubt
+        record = await self.records.settle(request.request_id, deadline)
+        return doubt if record is None else ResultOk()
+
+    async def _roll_back(self, transaction: OpenTransaction) -> StatementResult:
+        if self.open.get(transaction.transaction_id) is not transaction:
+            return ResultOk()
+        if transaction.link.usable:
+            answer = await transaction.link.run("ROLLBACK", ROLLBACK_SECONDS)
+            if not isinstance(answer, OkAnswer):
+                transaction.link.close()
+        self._finish(transaction)
+        return ResultOk()
+
+    def _close(self, transaction: OpenTransaction) -> None:
+        transaction.link.close()
+        self._finish(transaction)
+
+    def _finish(self, transaction: OpenTransaction) -> None:
+        if self.open.pop(transaction.transaction_id, None) is transaction:
+            pool = self.state.pools[transaction.primary.server]
+            pool.release(transaction.link)
+
+    def _still_open(
+        self, transaction: OpenTransaction, result: StatementResult
+    ) -> StatementResult:
+        return attrs.evolve(
+            result,
+            in_transaction=True,
+            transaction_id=transaction.transaction_id,
+        )
+
+
+def lost_transaction(detail: str) -> ResultError:
+    """Return the error of a transaction that was rolled back.
+
+    Args:
+      detail: A sentence for people.
+    """
+    message = f"the transaction was rolled back: {detail}"
+    return result_error(Failed(ROLLED_BACK_CODE, ROLLED_BACK_STATE, message))
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/__init__.py
@@ -0,0 +1,1 @@
+"""The MySQL protocol front that callers connect to."""
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/bounded_reader.py
@@ -0,0 +1,71 @@
+"""A stream reader that bounds what one caller can make the proxy hold."""
+
+import asyncio
+from collections.abc import Callable
+
+HEADER_BYTES = 4
+LENGTH_MASK = 0x00FFFFFF
+MAX_PACKET_BYTES = 0xFFFFFF
+
+
+class StatementTooLarge(Exception):
+    """A caller announced a longer statement than is allowed."""
+
+
+class BoundedReader(asyncio.StreamReader):
+    """Reads MySQL packets with a bound on length and on pauses inside one.
+
+    Attributes:
+      max_bytes: The longest command, in bytes.
+      packet_seconds: The longest that the rest of a packet may take.
+      on_eof: Called when the caller has closed its side.
+    """
+
+    def __init__(self, max_bytes: int, packet_seconds: float) -> None:
+        super().__init__()
+        self.max_bytes = max_bytes
+        self.packet_seconds = packet_seconds
+        self.command_bytes = 0
+        self.on_eof: Callable[[], None] = lambda: None
+
+    def feed_eof(self) -> None:
+        """Note the end of the stream and report it."""
+        super().feed_eof()
+        self.on_eof()
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return a packet header, or nothing at the end of the stream.
+
+        Args:
+          n: The number of bytes, which for a header is four.
+
+        Raises:
+          StatementTooLarge: The announced packet passes the bound.
+        """
+        header = await super().read(n)
+        if n != HEADER_BYTES or not header:
+            return header
+        if len(header) < HEADER_BYTES:
+            rest = HEADER_BYTES - len(header)
+            header += await self.readexactly(rest)
+        self._count(int.from_bytes(header, "little") & LENGTH_MASK)
+        return header
+
+    async def readexactly(self, n: int) -> bytes:
+        """Return the next bytes, which must arrive without a long pause.
+
+        Args:
+          n: The number of bytes.
+
+        Raises:
+          TimeoutError: The bytes took too long.
+        """
+        async with asyncio.timeout(self.packet_seconds):
+            return await super().readexactly(n)
+
+    def _count(self, length: int) -> None:
+        self.command_bytes += length
+        if self.command_bytes > self.max_bytes:
+            raise StatementTooLarge(f"longer than {self.max_bytes} bytes")
+        if length < MAX_PACKET_BYTES:
+            self.command_bytes = 0
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_connection.py
@@ -0,0 +1,335 @@
+"""One caller's MySQL connection."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+from absl import logging
+from mysql_mimic import ColumnType, ResultColumn, packets
+from mysql_mimic.connection import Connection
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.stream import ConnectionClosed
+from mysql_mimic.types import Commands, ServerStatus
+
+from jackdawcrank.front.binary_rows import binary_row, encoder_for
+from jackdawcrank.front.bounded_reader import (
+    BoundedReader,
+    StatementTooLarge,
+)
+from jackdawcrank.front.caller_session import CallerSession
+from jackdawcrank.front.packets import (
+    column_count_packet,
+    column_packet,
+    error_packet,
+    framed,
+    ok_packet,
+)
+from jackdawcrank.results.errors import not_run, not_supported, shutting_down
+from jackdawcrank_wire.messages import (
+    ResultError,
+    ResultOk,
+    ResultRows,
+    StatementResult,
+)
+
+ROWS_PER_WRITE = 500
+MAX_PREPARED_STATEMENTS = 1024
+FIRST_ANSWER_SEQUENCE = 1
+_TEXT_COLUMN = ResultColumn("", ColumnType.STRING)
+
+
+class LoginRefused(Exception):
+    """A caller did not log in."""
+
+
+class CallerConnection(Connection):
+    """Serves the MySQL protocol to one caller.
+
+    Attributes:
+      session: The caller's session.
+      busy: Whether a command is being served.
+      closing: Whether the connection closes after the present command.
+    """
+
+    session: CallerSession
+
+    def __init__(
+        self,
+        reader: BoundedReader,
+        login_timeout_seconds: float,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.reader = reader
+        self.login_timeout_seconds = login_timeout_seconds
+        self.busy = False
+        self.closing = False
+        self.logged_in = False
+        reader.on_eof = self._caller_vanished
+
+    async def serve(self) -> None:
+        """Serve the caller until either side closes."""
+        try:
+            async with asyncio.timeout(self.login_timeout_seconds):
+                await self.connection_phase()
+            self.logged_in = True
+            await self.command_phase()
+        except (LoginRefused, ConnectionClosed, MysqlError) as error:
+            logging.debug("caller connection closed: %s", error)
+        except (OSError, EOFError, TimeoutError) as error:
+            logging.debug("caller connection lost: %s", error)
+        except (ValueError, IndexError, KeyError, LookupError) as error:
+            logging.info("malformed packet from a caller: %s", error)
+        finally:
+            await self.session.close()
+
+    async def authenticate(self, *args: Any, **kwargs: Any) -> None:
+        """Log the caller in.
+
+        Raises:
+          LoginRefused: The caller gave no valid login.
+        """
+        self.session.username = None
+        await super().authenticate(*args, **kwargs)
+        if self.session.username is None:
+            raise LoginRefused("wrong user name or password")
+
+    async def command_phase(self) -> None:
+        """Serve commands one after the other."""
+        while not self.closing:
+            try:
+                data = await self.stream.read()
+            except StatementTooLarge as error:
+                await self._refuse_too_large(error)
+                return
+            self.busy = True
+            try:
+                if not await self._serve_command(data):
+                    return
+            finally:
+                self.busy = False
+                self.stream.reset_seq()
+        await self._say_goodbye()
+
+    async def drain(self) -> bool:
+        """Close at the next statement boundary; return whether that is now.
+
+        An open transaction may go on until it ends.
+        """
+        if self.busy or self.session.in_transaction:
+            self.session.on_boundary = self._close_at_boundary
+            return False
+        self.closing = True
+        if self.logged_in:
+            await self._say_goodbye()
+        return True
+
+    async def handle_query(self, data: bytes) -> None:
+        """Serve a statement in the text protocol.
+
+        Args:
+          data: The command without its first byte.
+        """
+        query = packets.parse_com_query(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+        )
+        result = await self.session.handle(query.sql, query.query_attrs)
+        await self._write_result(result)
+
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Prepare a statement.
+
+        Args:
+          data: The command without its first byte.
+        """
+        if len(self.prepared_stmts) >= MAX_PREPARED_STATEMENTS:
+            error = not_supported("too many prepared statements")
+            await self.stream.write(error_packet(error))
+            return
+        await super().handle_stmt_prepare(data)
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Run a prepared statement and answer in the binary protocol.
+
+        Args:
+          data: The command without its first byte.
+        """
+        command = packets.parse_com_stmt_execute(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+            get_stmt=self.get_stmt,
+        )
+        command.stmt.param_buffers = None
+        result = await self.session.handle(command.sql, command.query_attrs)
+        if not isinstance(result, ResultRows):
+            await self._write_result(result)
+        elif command.use_cursor:
+            await self._open_cursor(command.stmt, result)
+        else:
+            await self._write_binary_rows(result)
+
+    async def handle_stmt_reset(self, data: bytes) -> None:
+        """Forget a prepared statement's parameters and cursor.
+
+        Args:
+          data: The command without its first byte.
+        """
+        statement = self.get_stmt(packets.parse_com_stmt_reset(data).stmt_id)
+        statement.param_buffers = None
+        statement.cursor = None
+        await self.stream.write(self.ok())
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Roll back and forget the session's variables.
+
+        Args:
+          data: The command without its first byte.
+        """
+        self.prepared_stmts.clear()
+        await self.session.reset()
+        await self.stream.write(self.ok())
+
+    async def handle_field_list(self, data: bytes) -> None:
+        """Refuse the removed COM_FIELD_LIST.
+
+        Args:
+          data: The command without its first byte.
+        """
+        error = not_supported("COM_FIELD_LIST")
+        await self.stream.write(error_packet(error))
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Change the database group.
+
+        Args:
+          data: The command without its first byte.
+        """
+        name = packets.parse_com_init_db(self.client_charset, data)
+        result = await self.session.use_group(name)
+        await self._write_result(result)
+
+    def ok(self, **kwargs: Any) -> bytes:
+        """Return an OK packet with the session's status flags.
+
+        Args:
+          **kwargs: The packet's other fields.
+        """
+        self.status_flags = self._status()
+        return bytes(super().ok(**kwargs))
+
+    def eof(self, **kwargs: Any) -> bytes:
+        """Return an EOF packet with the session's status flags.
+
+        Args:
+          **kwargs: The packet's other fields.
+        """
+        self.status_flags = self._status()
+        return bytes(super().eof(**kwargs))
+
+    def _status(self) -> ServerStatus:
+        status = ServerStatus(0)
+        if self.session.autocommit:
+            status |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.session.in_transaction:
+            status |= ServerStatus.SERVER_STATUS_IN_TRANS
+        return status
+
+    async def _serve_command(self, data: bytes) -> bool:
+        if not data or data[0] == Commands.COM_QUIT:
+            return False
+        try:
+            await self._dispatch(data[0], data[1:])
+        except MysqlError as error:
+            await self.stream.write(self.error(msg=error.msg, code=error.code))
+        return True
+
+    async def _dispatch(self, command: int, rest: bytes) -> None:
+        handlers = {
+            Commands.COM_QUERY: self.handle_query,
+            Commands.COM_STMT_PREPARE: self.handle_stmt_prepare,
+            Commands.COM_STMT_SEND_LONG_DATA: self.handle_stmt_send_long_data,
+            Commands.COM_STMT_EXECUTE: self.handle_stmt_execute,
+            Commands.COM_STMT_FETCH: self.handle_stmt_fetch,
+            Commands.COM_STMT_RESET: self.handle_stmt_reset,
+            Commands.COM_STMT_CLOSE: self.handle_stmt_close,
+            Commands.COM_PING: self.handle_ping,
+            Commands.COM_CHANGE_USER: self.handle_change_user,
+            Commands.COM_RESET_CONNECTION: self.handle_reset_connection,
+            Commands.COM_INIT_DB: self.handle_init_db,
+            Commands.COM_FIELD_LIST: self.handle_field_list,
+        }
+        handler = handlers.get(command)
+        if handler is None:
+            error = not_supported(f"command {command:#04x}")
+            await self.stream.write(error_packet(error))
+            return
+        await handler(rest)
+
+    async def _write_result(self, result: StatementResult) -> None:
+        match result:
+            case ResultOk():
+                self.status_flags = self._status()
+                packet = ok_packet(self.capabilities, self.status_flags, result)
+                await self.stream.write(packet)
+            case ResultError():
+                await self.stream.write(error_packet(result))
+            case ResultRows():
+                await self._write_text_rows(result)
+
+    async def _write_text_rows(self, result: ResultRows) -> None:
+        self._write_header(result)
+        columns = [_TEXT_COLUMN] * len(result.columns)
+        for start in range(0, len(result.rows), ROWS_PER_WRITE):
+            rows = list(result.rows[start : start + ROWS_PER_WRITE])
+            self.stream.write_text_rows(rows, columns)
+            if len(result.rows) > ROWS_PER_WRITE:
+                await self.stream.drain()
+        await self.stream.write(self.ok_or_eof(warnings=result.warnings))
+
+    async def _write_binary_rows(self, result: ResultRows) -> None:
+        self._write_header(result)
+        async for packet in _binary_packets(result):
+            await self.stream.write(packet, drain=False)
+        await self.stream.write(self.ok_or_eof(warnings=result.warnings))
+
+    async def _open_cursor(self, statement: Any, result: ResultRows) -> None:
+        self._write_header(result, end=False)
+        statement.cursor = _binary_packets(result)
+        flags = ServerStatus.SERVER_STATUS_CURSOR_EXISTS
+        await self.stream.write(self.ok_or_eof(flags=flags))
+
+    def _write_header(self, result: ResultRows, end: bool = True) -> None:
+        header = [column_count_packet(len(result.columns))]
+        header.extend(column_packet(column) for column in result.columns)
+        if end and not self.deprecate_eof():
+            header.append(self.eof())
+        self.stream.write_many(header)
+
+    async def _refuse_too_large(self, error: StatementTooLarge) -> None:
+        result = not_run("too_large", str(error), code=1153, sqlstate="08S01")
+        await self.stream.write(error_packet(result))
+
+    async def _say_goodbye(self) -> None:
+        # A caller that sends a statement at this moment reads this as its
+        # answer, and the statement is truly not run.
+        packet = error_packet(shutting_down())
+        self.stream.writer.write(framed(packet, FIRST_ANSWER_SEQUENCE))
+        await self.stream.writer.drain()
+
+    def _close_at_boundary(self) -> None:
+        self.closing = not self.session.in_transaction
+
+    def _caller_vanished(self) -> None:
+        if self.logged_in:
+            self.session.caller_vanished()
+
+
+async def _binary_packets(result: ResultRows) -> AsyncIterator[bytes]:
+    encoders = [encoder_for(column) for column in result.columns]
+    for number, row in enumerate(result.rows):
+        if number % ROWS_PER_WRITE == 0:
+            await asyncio.sleep(0)
+        yield binary_row(row, encoders)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/front_server.py
@@ -0,0 +1,152 @@
+"""Listens for callers."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Sequence
+
+from absl import logging
+from mysql_mimic.control import Control
+from mysql_mimic.stream import MysqlStream
+
+from jackdawcrank.front.bounded_reader import BoundedReader
+from jackdawcrank.front.caller_connection import CallerConnection
+from jackdawcrank.front.caller_session import CallerSession
+from jackdawcrank.front.logins import Logins
+from jackdawcrank.front.packets import error_packet, framed
+from jackdawcrank.front.statement_router import StatementRouter
+from jackdawcrank.results.errors import not_run
+from jackdawcrank_wire.settings import CallerLogin
+
+PACKET_TIMEOUT_SECONDS = 10.0
+LINGER_SECONDS = 0.3
+MAX_CONNECTION_ID = 2**32
+LISTEN_BACKLOG = 1024
+
+
+class FrontServer:
+    """Accepts callers' connections and closes them at boundaries.
+
+    Attributes:
+      host: The address to listen on.
+      port: The TCP port; the real one after `start`.
+      connections: The open connections and their tasks.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        logins: Sequence[CallerLogin],
+        router: StatementRouter,
+        session_prefix: str,
+        max_statement_bytes: int,
+        max_connections: int,
+        login_timeout_seconds: float,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.logins = Logins(logins)
+        self.router = router
+        self.session_prefix = session_prefix
+        self.max_statement_bytes = max_statement_bytes
+        self.max_connections = max_connections
+        self.login_timeout_seconds = login_timeout_seconds
+        self.numbers = itertools.count(1)
+        self.connections: dict[CallerConnection, asyncio.Task[None]] = {}
+        self.server: asyncio.Server | None = None
+        self.draining = False
+
+    async def start(self) -> None:
+        """Start to listen."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self._make_protocol, self.host, self.port, backlog=LISTEN_BACKLOG
+        )
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Close every connection at once."""
+        self._stop_listening()
+        tasks = list(self.connections.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def drain(self, timeout_seconds: float) -> int:
+        """Close connections at statement boundaries; return how many are cut.
+
+        Args:
+          timeout_seconds: The longest that open transactions may go on.
+        """
+        self.draining = True
+        self._stop_listening()
+        for connection, task in list(self.connections.items()):
+            if await self._drain_one(connection):
+                asyncio.get_running_loop().call_later(
+                    LINGER_SECONDS, task.cancel
+                )
+        tasks = list(self.connections.values())
+        if not tasks:
+            return 0
+        _, pending = await asyncio.wait(tasks, timeout=timeout_seconds)
+        for task in pending:
+            task.cancel()
+        return len(pending)
+
+    async def _drain_one(self, connection: CallerConnection) -> bool:
+        try:
+            return await connection.drain()
+        except OSError:
+            return True
+
+    def _stop_listening(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        reader = BoundedReader(self.max_statement_bytes, PACKET_TIMEOUT_SECONDS)
+        return asyncio.StreamReaderProtocol(reader, self._connected)
+
+    async def _connected(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        assert isinstance(reader, BoundedReader)
+        if len(self.connections) >= self.max_connections:
+            await self._refuse(writer)
+            return
+        connection = self._make_connection(reader, writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self.connections[connection] = task
+        try:
+            await connection.serve()
+        except asyncio.CancelledError:
+            logging.debug("caller connection closed by the proxy")
+        finally:
+            del self.connections[connection]
+            writer.close()
+
+    def _make_connection(
+        self, reader: BoundedReader, writer: asyncio.StreamWriter
+    ) -> CallerConnection:
+        number = next(self.numbers) % MAX_CONNECTION_ID
+        session = CallerSession(f"{self.session_prefix}-{number}", self.router)
+        connection = CallerConnection(
+            reader,
+            self.login_timeout_seconds,
+            stream=MysqlStream(reader, writer),
+            session=session,
+            control=Control(),
+            identity_provider=self.logins,
+        )
+        connection.connection_id = number
+        return connection
+
+    async def _refuse(self, writer: asyncio.StreamWriter) -> None:
+        error = not_run("overloaded", "Too many connections", 1040, "08004")
+        with contextlib.suppress(OSError):
+            writer.write(framed(error_packet(error), 0))
+            await writer.drain()
+        writer.close()
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/logins.py
@@ -0,0 +1,44 @@
+"""Checks the logins of callers."""
+
+import secrets
+from collections.abc import Iterable
+
+from mysql_mimic import IdentityProvider, NativePasswordAuthPlugin, User
+
+from jackdawcrank_wire.settings import CallerLogin
+
+NOBODY_PASSWORD_BYTES = 16
+
+
+class Logins(IdentityProvider):
+    """The users that may log in, with native password authentication."""
+
+    def __init__(self, logins: Iterable[CallerLogin]) -> None:
+        self.plugin = NativePasswordAuthPlugin()
+        create = NativePasswordAuthPlugin.create_auth_string
+        self.users = {
+            login.user: User(
+                name=login.user,
+                auth_string=create(login.password),
+                auth_plugin=self.plugin.name,
+            )
+            for login in logins
+        }
+        # An unknown user fails like a wrong password, so names stay private.
+        self.nobody = User(
+            name="",
+            auth_string=create(secrets.token_hex(NOBODY_PASSWORD_BYTES)),
+            auth_plugin=self.plugin.name,
+        )
+
+    def get_plugins(self) -> list[NativePasswordAuthPlugin]:
+        """Return the ways to log in."""
+        return [self.plugin]
+
+    async def get_user(self, username: str) -> User:
+        """Return the user of a name.
+
+        Args:
+          username: The name that a caller gave.
+        """
+        return self.users.get(username, self.nobody)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/packets.py
@@ -0,0 +1,115 @@
+"""MySQL packets of answers, built from the system's own result types."""
+
+import struct
+
+from mysql_mimic import packets
+from mysql_mimic.types import (
+    Capabilities,
+    ServerStatus,
+    str_len,
+    uint_1,
+    uint_2,
+    uint_4,
+    uint_len,
+)
+
+from jackdawcrank_wire.messages import (
+    ColumnInfo,
+    ResultError,
+    ResultOk,
+    StatementOutcome,
+)
+
+MAX_MESSAGE_BYTES = 512
+FIXED_FIELDS_LENGTH = 0x0C
+
+
+def column_packet(column: ColumnInfo) -> bytes:
+    """Return a column definition.
+
+    Args:
+      column: The column.
+    """
+    texts = (
+        "def",
+        column.database,
+        column.table,
+        column.original_table,
+        column.name,
+        column.original_name,
+    )
+    fixed = struct.pack(
+        "<HIBHBH",
+        column.charset,
+        column.length,
+        column.type_code,
+        column.flags,
+        column.decimals,
+        0,
+    )
+    named = b"".join(str_len(text.encode()) for text in texts)
+    return named + uint_1(FIXED_FIELDS_LENGTH) + fixed
+
+
+def ok_packet(
+    capabilities: Capabilities, status: ServerStatus, result: ResultOk
+) -> bytes:
+    """Return an OK packet with counts and info text.
+
+    Args:
+      capabilities: What the caller's driver understands.
+      status: The connection's status flags.
+      result: The answer.
+    """
+    packet = packets.make_ok(
+        capabilities=capabilities,
+        status_flags=status,
+        affected_rows=result.affected_rows,
+        last_insert_id=result.last_insert_id,
+        warnings=result.warnings,
+    )
+    return bytes(packet) + result.info.encode()
+
+
+def error_text(error: ResultError) -> str:
+    """Return the message that a caller sees, which starts with the outcome.
+
+    Args:
+      error: The failure.
+    """
+    text = f"{error.outcome.value}: {error.message}"
+    if error.outcome is StatementOutcome.NOT_RUN:
+        text = f"not_run: {error.reason}: {error.message}"
+    if error.retry_after_ms is not None:
+        text += f"; retry_after_ms={error.retry_after_ms}"
+    return text
+
+
+def error_packet(error: ResultError) -> bytes:
+    """Return an error packet with the standard code and SQLSTATE.
+
+    Args:
+      error: The failure.
+    """
+    text = error_text(error).encode()[:MAX_MESSAGE_BYTES]
+    state = error.sqlstate.encode()[:5].ljust(5, b"0")
+    return b"\xff" + uint_2(error.code) + b"#" + state + text
+
+
+def framed(packet: bytes, sequence: int) -> bytes:
+    """Return a packet with its header.
+
+    Args:
+      packet: The payload, shorter than 16 MiB.
+      sequence: The packet's number within the command.
+    """
+    return bytes(uint_4(len(packet) | sequence << 24)) + packet
+
+
+def column_count_packet(count: int) -> bytes:
+    """Return the packet that announces a number of columns.
+
+    Args:
+      count: The number of columns.
+    """
+    return bytes(uint_len(count))
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/session_variables.py
@@ -0,0 +1,113 @@
+"""What SET statements have changed on a caller's connection."""
+
+import attrs
+
+from jackdawcrank.results.errors import not_run, not_supported
+from jackdawcrank.statements import Assignment, MalformedOption, Options
+from jackdawcrank.statements.options import NO_OPTIONS, READERS, read_options
+from jackdawcrank_wire.messages import ResultError
+
+# Variables whose change is carried to the backend connection.
+CARRIED = frozenset(
+    {"time_zone", "sql_mode", "group_concat_max_len", "lc_time_names"}
+    | {"div_precision_increment", "max_execution_time", "sql_select_limit"}
+    | {"foreign_key_checks", "unique_checks", "sql_safe_updates"}
+    | {"collation_connection", "innodb_lock_wait_timeout"}
+)
+# Variables that concern the caller's own connection only.
+ACCEPTED = frozenset(
+    {"character_set_results", "character_set_client", "wait_timeout"}
+    | {"character_set_connection", "net_write_timeout", "net_read_timeout"}
+    | {"interactive_timeout", "sql_auto_is_null", "names"}
+    | {"sql_notes", "sql_warnings"}
+)
+SUPPORTED_CHARSETS = ("utf8mb4", "utf8", "utf8mb3", "null", "default")
+ON_VALUES = frozenset({"1", "on", "true"})
+OFF_VALUES = frozenset({"0", "off", "false"})
+
+
+@attrs.define
+class SessionVariables:
+    """A connection's variables.
+
+    Attributes:
+      autocommit: Whether each statement commits by itself.
+      defaults: Options for statements that state none of their own.
+      carried: The items to set on a backend connection, by name.
+    """
+
+    autocommit: bool = True
+    defaults: Options = NO_OPTIONS
+    carried: dict[str, str] = attrs.field(factory=dict)
+
+    @property
+    def setup(self) -> tuple[str, ...]:
+        """Return the statements that prepare a backend connection."""
+        return tuple(f"SET SESSION {item}" for item in self.carried.values())
+
+    def assign(self, item: Assignment) -> ResultError | None:
+        """Take over one item of a SET statement, or refuse it.
+
+        Args:
+          item: The item.
+        """
+        if item.is_global:
+            return not_supported("SET GLOBAL")
+        if item.user:
+            return self._assign_option(item)
+        if item.name == "autocommit":
+            return self._assign_autocommit(item)
+        if item.name == "names" or item.name.startswith("character_set"):
+            return self._check_charset(item)
+        if item.name in CARRIED:
+            return self._carry(item)
+        if item.name in ACCEPTED:
+            return None
+        if item.name == "transaction":
+            return self._carry_transaction(item)
+        return not_supported(f"SET {item.name}")
+
+    def _assign_option(self, item: Assignment) -> ResultError | None:
+        if item.name not in READERS:
+            return not_supported("a user variable")
+        if item.value.lower() in ("null", "default", ""):
+            empty = getattr(NO_OPTIONS, item.name)
+            self.defaults = attrs.evolve(self.defaults, **{item.name: empty})
+            return None
+        if item.name == "request_id":
+            return not_supported("a request_id for several statements")
+        options = read_options({item.name: item.value})
+        if isinstance(options, MalformedOption):
+            return not_run("bad_option", options.detail, code=1210)
+        self.defaults = options.over(self.defaults)
+        return None
+
+    def _assign_autocommit(self, item: Assignment) -> ResultError | None:
+        value = item.value.lower()
+        if value not in ON_VALUES | OFF_VALUES:
+            return not_run("bad_option", "autocommit is not 0 or 1", code=1231)
+        self.autocommit = value in ON_VALUES
+        return None
+
+    def _check_charset(self, item: Assignment) -> ResultError | None:
+        text = item.value.lower()
+        if any(charset in text for charset in SUPPORTED_CHARSETS):
+            return None
+        return not_supported("a character set other than utf8mb4")
+
+    def _carry(self, item: Assignment) -> ResultError | None:
+        if "no_backslash_escapes" in item.value.lower():
+            return not_supported("sql_mode NO_BACKSLASH_ESCAPES")
+        if "ansi_quotes" in item.value.lower():
+            return not_supported("sql_mode ANSI_QUOTES")
+        name = item.name
+        value = item.text.partition("=")[2].strip()
+        self.carried[name] = f"{name} = {value}"
+        return None
+
+    def _carry_transaction(self, item: Assignment) -> ResultError | None:
+        if not item.text.lower().startswith(("session", "local")):
+            return not_supported("SET TRANSACTION without SESSION")
+        body = item.text.split(None, 1)[1]
+        self.carried["transaction"] = body
+        return None
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/results/__init__.py
@@ -0,0 +1,17 @@
+"""Results of statements in the form that travels between proxies."""
+
+from jackdawcrank.results.answers import result_from_answer
+from jackdawcrank.results.errors import (
+    not_run,
+    not_supported,
+    result_error,
+    shutting_down,
+)
+
+__all__ = [
+    "not_run",
+    "not_supported",
+    "result_error",
+    "result_from_answer",
+    "shutting_down",
+]
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/statements/set_statement.py
@@ -0,0 +1,82 @@
+"""Reads SET statements without parsing SQL in general."""
+
+import re
+
+import attrs
+
+_ITEM = (
+    r"(?:'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|\([^)]*\)|[^,'\"(])+"
+)
+_ITEMS = re.compile(_ITEM)
+_SET = re.compile(r"\s*set\s+(.*?)\s*;?\s*\Z", re.IGNORECASE | re.DOTALL)
+_ASSIGNMENT = re.compile(
+    r"\s*(?P<scope>global\s+|session\s+|local\s+|persist(?:_only)?\s+)?"
+    r"(?P<at>@@(?:(?:session|local|global)\.)?|@)?"
+    r"`?(?P<name>[A-Za-z_][\w.]*)`?\s*:?=\s*(?P<value>.+?)\s*\Z",
+    re.IGNORECASE | re.DOTALL,
+)
+_NAMES = re.compile(r"\s*(?:names|character\s+set|charset)\b", re.IGNORECASE)
+_TRANSACTION = re.compile(
+    r"\s*(?:session\s+|local\s+)?transaction\b", re.IGNORECASE
+)
+
+
+@attrs.frozen
+class Assignment:
+    """One item of a SET statement.
+
+    Attributes:
+      name: The variable in lower case; `names` and `transaction` stand for
+        those forms.
+      value: The value's text with simple quotes taken off.
+      user: Whether it is a user variable (`@name`).
+      is_global: Whether it addresses the whole server.
+      text: The item as it was written.
+    """
+
+    name: str
+    value: str
+    user: bool = False
+    is_global: bool = False
+    text: str = ""
+
+
+def parse_set(sql: str) -> tuple[Assignment, ...] | None:
+    """Return the items of a SET statement, or None if it has another form.
+
+    Args:
+      sql: The statement.
+    """
+    match = _SET.match(sql)
+    if match is None:
+        return None
+    body = match[1]
+    if _TRANSACTION.match(body):
+        return (Assignment("transaction", body, text=body),)
+    items = [item.strip() for item in _ITEMS.findall(body)]
+    assignments = tuple(_read_item(item) for item in items if item)
+    known = tuple(item for item in assignments if item is not None)
+    return known if known and len(known) == len(assignments) else None
+
+
+def _read_item(item: str) -> Assignment | None:
+    if _NAMES.match(item):
+        return Assignment("names", item, text=item)
+    match = _ASSIGNMENT.match(item)
+    if match is None:
+        return None
+    at = (match["at"] or "").lower()
+    scope = (match["scope"] or "").strip().lower()
+    return Assignment(
+        name=match["name"].lower(),
+        value=_unquote(match["value"]),
+        user=at == "@",
+        is_global=scope.startswith(("global", "persist")) or "global" in at,
+        text=item,
+    )
+
+
+def _unquote(text: str) -> str:
+    if len(text) >= 2 and text[0] == text[-1] and text[0] in "'\"":
+        return text[1:-1]
+    return text
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/statements/sql_comment.py
@@ -0,0 +1,63 @@
+"""Options in a trailing comment of the sqlcommenter form."""
+
+import re
+
+import attrs
+
+from jackdawcrank.statements.options import (
+    NO_OPTIONS,
+    READERS,
+    MalformedOption,
+    Options,
+    decode_value,
+    read_options,
+)
+
+_TRAILING = re.compile(r"/\*((?:[^*]|\*(?!/))*)\*/\s*;?\s*\Z")
+_PAIR = r"\s*([A-Za-z0-9_%.-]+)\s*=\s*'((?:[^'\\]|\\.)*)'\s*"
+_PAIRS = re.compile(rf"{_PAIR}(?:,{_PAIR})*,?\s*\Z")
+_ONE_PAIR = re.compile(_PAIR)
+_OPTION_NAME = re.compile(r"(?<![\w.%-])(" + "|".join(READERS) + r")\s*=")
+
+
+@attrs.frozen
+class SplitStatement:
+    """A statement and the options that its comment held.
+
+    Attributes:
+      sql: The statement; without the comment if that held options.
+      options: The options.
+    """
+
+    sql: str
+    options: Options
+
+
+def split_options(sql: str) -> SplitStatement | MalformedOption:
+    """Return a statement apart from the options in its trailing comment.
+
+    A comment that names no option stays in the statement.
+
+    Args:
+      sql: The statement as the caller sent it.
+    """
+    if not sql.rstrip("; \t\r\n").endswith("*/"):
+        return SplitStatement(sql, NO_OPTIONS)
+    match = _TRAILING.search(sql)
+    if match is None or not _OPTION_NAME.search(match[1]):
+        return SplitStatement(sql, NO_OPTIONS)
+    if not _PAIRS.match(match[1]):
+        return MalformedOption("the options comment is malformed")
+    return _read_comment(sql[: match.start()].rstrip(), match[1])
+
+
+def _read_comment(sql: str, comment: str) -> SplitStatement | MalformedOption:
+    found = _ONE_PAIR.findall(comment)
+    names = [name for name, _ in found]
+    repeated = {name for name in names if names.count(name) > 1}
+    if repeated & READERS.keys():
+        return MalformedOption(f"option {min(repeated)} stands twice")
+    options = read_options({k: decode_value(v) for k, v in found})
+    if isinstance(options, MalformedOption):
+        return options
+    return SplitStatement(sql, options)
