Add the operators' command line

jackdawcrankctl is thin over a config object; every request is idempotent and sent again when its answer was lost; exit statuses tell drift, conflict and outage apart. GroupRows serves coordination from the change log.

--- /dev/null
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each."""
--- /dev/null
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/diff.py
@@ -0,0 +1,67 @@
+"""Shows where the system is not as declared."""
+
+import pathlib
+
+import attrs
+import click
+
+from jackdawcrank_cli.client import Client
+from jackdawcrank_cli.commands.run import run
+from jackdawcrank_cli.config import CliConfig
+from jackdawcrank_cli.declared import Declared, read_declared
+from jackdawcrank_cli.exit_codes import ExitCode
+from jackdawcrank_cli.output import cell, print_json
+from jackdawcrank_cli.plan import Action, Step, make_plan, read_present
+
+WORDS = {
+    Action.CREATE: "is declared but not in force",
+    Action.CHANGE: "differs",
+    Action.DELETE: "is in force but not declared",
+}
+
+
+@click.command()
+@click.option(
+    "-f",
+    "--file",
+    "path",
+    required=True,
+    type=click.Path(exists=True, path_type=pathlib.Path),
+    help="JSON file, or directory of them, that declares resources.",
+)
+@click.pass_context
+def diff(context: click.Context, path: pathlib.Path) -> None:
+    """Show differences between files and system; exit 1 if there are any."""
+    config: CliConfig = context.obj
+    declared = read_declared(path)
+    steps = run(config, lambda client: drift(client, declared))
+    if config.output == "json":
+        print_json([step_document(step) for step in steps])
+    else:
+        for step in steps:
+            print_step(step)
+    context.exit(ExitCode.DRIFT if steps else ExitCode.OK)
+
+
+async def drift(client: Client, declared: list[Declared]) -> list[Step]:
+    """Return the steps that would make the system as declared."""
+    plan = make_plan(declared, await read_present(client), prune=True)
+    return [step for step in plan if step.action is not Action.NONE]
+
+
+def print_step(step: Step) -> None:
+    """Print one difference."""
+    click.echo(f"{step.kind} {step.name} {WORDS[step.action]}")
+    for item in step.differences:
+        present, declared = cell(item.present), cell(item.declared)
+        click.echo(f"  {item.path}: {present} -> {declared}")
+
+
+def step_document(step: Step) -> dict[str, object]:
+    """Return one difference as JSON values."""
+    return {
+        "kind": step.kind,
+        "name": step.name,
+        "action": str(step.action),
+        "differences": [attrs.asdict(item) for item in step.differences],
+    }
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/change_log.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/change_log.py
@@ -225,7 +225,7 @@
     def change(self, write: Write, version: int) -> Change:
         """Return the change that a write makes at a version."""
         body = write.body
-        if body is not None and write.kind != Kind.GROUP_ROW:
+        if body is not None:
             body = {**body, "resource_version": version}
         return Change(
             version=version,
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/group_rows.py
@@ -0,0 +1,84 @@
+"""The group rows in the platform's table service."""
+
+import attrs
+
+from jackdawcrank.groups.group_store import (
+    Conflict,
+    Stored,
+    StoreUnavailable,
+)
+from jackdawcrank.store import outcome
+from jackdawcrank.store.change_log import (
+    Appended,
+    ChangeConflict,
+    ChangeLog,
+)
+from jackdawcrank.store.client import StoreClient
+from jackdawcrank.store.group_row_codec import (
+    decode_group_row,
+    encode_group_row,
+)
+from jackdawcrank_policy.values import GroupRow
+
+
+@attrs.frozen
+class GroupRows:
+    """Reads group rows and changes them through the change log.
+
+    Attributes:
+      store: The store.
+      change_log: Writes changes.
+      actor: Who claims terms: the VM's name.
+    """
+
+    store: StoreClient
+    change_log: ChangeLog
+    actor: str
+
+    async def claim(
+        self, expected: GroupRow | None, new: GroupRow
+    ) -> Stored | Conflict | StoreUnavailable:
+        """Compare-and-set a group's row together with the log's head.
+
+        A claim that is repeated after a lost answer finds the row that it
+        had written and counts as stored.
+        """
+        answer = await self.change_log.append_group_row(
+            new.group,
+            encode_group_row(new),
+            lambda row: row_in(row) == expected,
+            self.actor,
+        )
+        if isinstance(answer, Appended):
+            return Stored(answer.version)
+        if isinstance(answer, ChangeConflict):
+            return settled(answer, new)
+        if isinstance(answer, outcome.StoreUnavailable):
+            return StoreUnavailable(answer.detail)
+        raise TypeError(f"not an outcome of a claim: {answer!r}")
+
+    async def read(self, group: str) -> GroupRow | None | StoreUnavailable:
+        """Return a group's row as it stands in the store."""
+        answer = await self.store.get("groups", group)
+        if isinstance(answer, outcome.StoreUnavailable):
+            return StoreUnavailable(answer.detail)
+        if isinstance(answer, outcome.Absent):
+            return None
+        row = decode_group_row(answer.value)
+        if row is None:
+            return StoreUnavailable(f"the row of {group} is malformed")
+        return row
+
+
+def row_in(row: outcome.Row | None) -> GroupRow | None:
+    """Return the group row in a row of the table."""
+    return None if row is None else decode_group_row(row.value)
+
+
+def settled(conflict: ChangeConflict, new: GroupRow) -> Stored | Conflict:
+    """Return whether the row that stands is the one to be written."""
+    value = conflict.current
+    current = None if value is None else decode_group_row(value)
+    if current == new:
+        return Stored(conflict.version)
+    return Conflict(current)
