--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/__init__.py
@@ -5,9 +5,11 @@
     alignment,
     divergent_tail,
 )
+from jackdawcrank_policy.coordination.row_history import RowHistory
 from jackdawcrank_policy.coordination.takeover import (
     PREPARING_TAKEOVER_SECONDS,
     RANK_DELAY_SECONDS,
+    acting_coordinator,
     rank,
     takeover_delay,
 )
@@ -17,6 +19,8 @@
     "PREPARING_TAKEOVER_SECONDS",
     "RANK_DELAY_SECONDS",
     "Announcement",
+    "RowHistory",
+    "acting_coordinator",
     "alignment",
     "divergent_tail",
     "rank",
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/takeover.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/takeover.py
@@ -23,6 +23,21 @@
     return others.index(vm) + offset
 
 
+def acting_coordinator(
+    coordinator: str, homes: tuple[str, ...], live: frozenset[str]
+) -> str | None:
+    """Return the VM that keeps a group in order, or None if none is alive.
+
+    Args:
+      coordinator: The coordinator that the group's row names.
+      homes: The group's homes, in the order on which all VMs agree.
+      live: The VMs that are known to be alive.
+    """
+    if coordinator in homes and coordinator in live:
+        return coordinator
+    return next((home for home in homes if home in live), None)
+
+
 def takeover_delay(position: int) -> float:
     """Return the seconds that a home of a rank leaves to those before it.
 
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/upkeep.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/upkeep.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from jackdawcrank_policy.coordination.takeover import acting_coordinator
 from jackdawcrank_policy.values import GroupPhase, GroupRow
 
 
@@ -11,8 +12,9 @@
     """Return the row as the acting coordinator would have it, or None.
 
     The term stays. A VM that leaves the writers may hold the lease for
-    `LEASE_CLOSING_SECONDS` more; a promotion that collects acknowledgements
-    has to wait that long after such a change, which `Promotion` does.
+    `LEASE_CLOSING_SECONDS` more, so a promotion relies on the promises of the
+    remaining writers only that long after the change
+    (`PromotionPlan.quick_from`).
 
     Args:
       row: The group's newest row.
@@ -20,15 +22,10 @@
       homes: The group's homes, in the order on which all VMs agree.
       live: The VMs that are known to be alive.
     """
-    if row.phase is not GroupPhase.ACTIVE or vm not in homes:
+    if row.phase is not GroupPhase.ACTIVE:
         return None
-    writers = tuple(home for home in homes if home in live)
-    if vm not in writers:
-        return None
-    coordinator = row.coordinator
-    if coordinator not in writers:
-        coordinator = vm
-    wanted = attrs.evolve(row, writers=writers, coordinator=coordinator)
-    if wanted == row or coordinator != vm:
+    if acting_coordinator(row.coordinator, homes, live) != vm:
         return None
-    return wanted
+    writers = tuple(home for home in homes if home in live)
+    wanted = attrs.evolve(row, writers=writers, coordinator=vm)
+    return None if wanted == row else wanted
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/detection/judge.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/detection/judge.py
@@ -4,8 +4,6 @@
 from collections.abc import Iterable
 
 from jackdawcrank_policy.detection.primary_evidence import (
-    ANSWERING,
-    SUSPICIOUS,
     PrimaryEvidence,
     PrimaryHealth,
 )
@@ -51,9 +49,9 @@
     able = [
         health
         for health in healths
-        if health in SUSPICIOUS or health in ANSWERING
+        if health.is_suspicious or health.is_answering
     ]
-    suspecting = sum(1 for health in able if health in SUSPICIOUS)
+    suspecting = sum(1 for health in able if health.is_suspicious)
     reaching = len(able) - suspecting
     if suspecting >= min(MIN_SUSPECTING, len(healths)) > 0:
         if not reaching:
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/detection/primary_detector.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/detection/primary_detector.py
@@ -7,9 +7,10 @@
 from jackdawcrank_policy.detection.primary_evidence import PrimaryHealth
 
 PROBE_INTERVAL_SECONDS = 0.25
-PROBE_TIMEOUT_SECONDS = 0.5
+PROBE_TIMEOUT_SECONDS = 0.3
 SUSPECT_AFTER_SECONDS = 1.0
 REFUSING_AFTER_SECONDS = 0.5
+CORROBORATE_AFTER_SECONDS = 0.3
 SLOW_ANSWER_SECONDS = 0.25
 MIN_MISSES = 3
 MIN_REFUSALS = 2
@@ -121,6 +122,22 @@
             return PrimaryHealth.SLOW
         return PrimaryHealth.HEALTHY
 
+    def corroborating_health(self, now: float) -> PrimaryHealth:
+        """Return how the primary looks to a proxy asked by a suspecting one.
+
+        A proxy that was asked has just probed; one missed deadline is enough
+        to support a suspicion that another proxy has formed in full.
+
+        Args:
+          now: The present time, in seconds.
+        """
+        health = self.health(now)
+        if health is not PrimaryHealth.SLOW or not self.misses:
+            return health
+        if self.silent_seconds(now) < CORROBORATE_AFTER_SECONDS:
+            return health
+        return self.unless_cut_off(PrimaryHealth.SUSPECT, now)
+
     def unless_cut_off(
         self, health: PrimaryHealth, now: float
     ) -> PrimaryHealth:
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/detection/primary_evidence.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/detection/primary_evidence.py
@@ -25,9 +25,15 @@
     REFUSING = "refusing"
     CUT_OFF = "cut_off"
 
+    @property
+    def is_suspicious(self) -> bool:
+        """Return whether the primary is held to have failed."""
+        return self in (PrimaryHealth.SUSPECT, PrimaryHealth.REFUSING)
 
-SUSPICIOUS = frozenset({PrimaryHealth.SUSPECT, PrimaryHealth.REFUSING})
-ANSWERING = frozenset({PrimaryHealth.HEALTHY, PrimaryHealth.SLOW})
+    @property
+    def is_answering(self) -> bool:
+        """Return whether the primary answers."""
+        return self in (PrimaryHealth.HEALTHY, PrimaryHealth.SLOW)
 
 
 @attrs.frozen
@@ -51,3 +57,8 @@
     health: PrimaryHealth
     silent_seconds: float = 0.0
     coordinating: bool = False
+
+    @property
+    def is_suspicious(self) -> bool:
+        """Return whether the VM holds the primary to have failed."""
+        return self.health.is_suspicious
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/actions.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/actions.py
@@ -83,11 +83,11 @@
 
 @attrs.frozen
 class AskGiveUp:
-    """Ask a writer to give up its lease on a term and all earlier ones.
+    """Ask a writer to give up its leases on every term below the claimed.
 
     Attributes:
       vm: The writer's VM.
-      term: The highest term to give up.
+      term: The claimed term.
     """
 
     vm: str
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/promotion.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/promotion.py
@@ -144,7 +144,7 @@
         self.claimed_at = now
         self.leases_closed = not self.plan.old_writers
         actions: list[Action] = [
-            AskGiveUp(vm, self.plan.old_term) for vm in self.plan.old_writers
+            AskGiveUp(vm, self.term) for vm in self.plan.old_writers
         ]
         actions.append(SetTimer(Timer.LEASES, self.leases_out_at(now)))
         actions.append(SetTimer(Timer.DEADLINE, now + DEADLINE_SECONDS))
@@ -369,7 +369,14 @@
             return True
         if self.plan.cause is PromotionCause.SWITCH_OVER:
             return self.plan.target in self.fenced
-        return len(self.fenced) + len(self.failed) == len(self.plan.servers)
+        awaited = set(self.plan.servers) - self.fenced.keys() - self.failed
+        if self.plan.cause is PromotionCause.FAILURE:
+            awaited.discard(self.term_primary())
+        return not awaited
+
+    def term_primary(self) -> str:
+        """Return the primary of the last open term."""
+        return self.claimed.primary if self.claimed else ""
 
     def shortage(self) -> AbandonReason:
         """Return why the term could not be opened."""
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/claim_watch.py
@@ -0,0 +1,121 @@
+"""Claims the first term of a group and terms that were left unopened."""
+
+from jackdawcrank.groups.group_context import GroupContext
+from jackdawcrank.groups.group_probes import GroupProbes
+from jackdawcrank.groups.group_store import StoreUnavailable
+from jackdawcrank.groups.promotion_driver import PromotionDriver
+from jackdawcrank.timer import Subscription
+from jackdawcrank_policy.acknowledgement import Quorum
+from jackdawcrank_policy.coordination import (
+    PREPARING_TAKEOVER_SECONDS,
+    rank,
+    takeover_delay,
+)
+from jackdawcrank_policy.promotion import PromotionCause
+from jackdawcrank_policy.values import GroupPhase, GroupRow
+
+BOOTSTRAP_RETRY_SECONDS = 0.5
+COORDINATOR_TIMEOUT_SECONDS = 0.4
+RETRY_SECONDS = 1.0
+
+
+class ClaimWatch:
+    """Sees to it that a group gets its first term and no claim is left.
+
+    Attributes:
+      context: The group.
+      probes: The probes of the group's servers.
+      driver: The group's promotions.
+    """
+
+    def __init__(
+        self,
+        context: GroupContext,
+        probes: GroupProbes,
+        driver: PromotionDriver,
+    ) -> None:
+        self.context = context
+        self.probes = probes
+        self.driver = driver
+        self.takeover_call: Subscription | None = None
+        self.bootstrap_call: Subscription | None = None
+
+    def start(self) -> None:
+        """Begin to look for a group without a row."""
+        self.bootstrap_call = self.context.timer.call_later(
+            BOOTSTRAP_RETRY_SECONDS, self.consider_bootstrap
+        )
+
+    def close(self) -> None:
+        """Claim nothing any more."""
+        for call in (self.takeover_call, self.bootstrap_call):
+            if call is not None:
+                call.close()
+
+    async def consider_bootstrap(self, now: float) -> None:
+        """Elect the first primary of a group that has no row."""
+        if self.context.closed or self.context.row is not None:
+            return
+        position = rank(self.context.vm, "", self.context.homes)
+        needed = Quorum(len(self.context.servers)).fence_count
+        if position is not None and len(self.probes.reports()) >= needed:
+            await self.context.pause(takeover_delay(position))
+            await self.bootstrap()
+        self.start()
+
+    async def bootstrap(self) -> None:
+        """Claim the first term if the store has no row of the group."""
+        if self.context.row is not None or self.driver.busy:
+            return
+        found = await self.context.store.read(self.context.spec.name)
+        if isinstance(found, StoreUnavailable):
+            self.context.block("the store does not answer")
+        elif found is None and self.context.row is None:
+            await self.driver.promote(PromotionCause.BOOTSTRAP)
+
+    def take_row(self, row: GroupRow) -> None:
+        """Plan to take over a claimed term that may be left unopened.
+
+        Args:
+          row: The newest row.
+        """
+        if row.phase is not GroupPhase.PREPARING:
+            return
+        position = self.context.rank
+        if position is not None:
+            delay = PREPARING_TAKEOVER_SECONDS + takeover_delay(position)
+            self.plan_takeover(delay)
+
+    def plan_takeover(self, delay_seconds: float) -> None:
+        """Consider to take a claimed term over after a delay."""
+        if self.takeover_call is not None:
+            self.takeover_call.close()
+        self.takeover_call = self.context.timer.call_later(
+            delay_seconds, self.consider_takeover
+        )
+
+    async def consider_takeover(self, now: float) -> None:
+        """Claim the next term if the claimed one's coordinator is gone."""
+        row = self.context.row
+        if self.context.closed or row is None:
+            return
+        if row.phase is not GroupPhase.PREPARING:
+            return
+        if self.driver.busy or await self.is_coordinated(row):
+            self.plan_takeover(RETRY_SECONDS)
+            return
+        if self.context.row != row or self.driver.busy:
+            return
+        self.plan_takeover(RETRY_SECONDS)
+        await self.driver.promote(PromotionCause.TAKEOVER)
+
+    async def is_coordinated(self, row: GroupRow) -> bool:
+        """Return whether a claimed term's coordinator is still at work."""
+        if row.coordinator == self.context.vm:
+            return False
+        answer = await self.context.peers.ask_suspicion(
+            row.coordinator,
+            self.context.spec.name,
+            COORDINATOR_TIMEOUT_SECONDS,
+        )
+        return answer is not None and answer.coordinating
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_probes.py
@@ -0,0 +1,168 @@
+"""The probes of all servers of one group."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from jackdawcrank.backend.server_control import ServerControl
+from jackdawcrank.groups.probe_result import ProbeResult
+from jackdawcrank.groups.server_probe import ServerProbe
+from jackdawcrank.timer import Timer
+from jackdawcrank_policy.detection import (
+    PROBE_INTERVAL_SECONDS,
+    PrimaryDetector,
+)
+from jackdawcrank_policy.values import (
+    GroupPhase,
+    GroupRow,
+    ServerReport,
+    ServerRole,
+)
+
+CALM_INTERVAL_SECONDS = 1.0
+FRESH_SECONDS = 0.3
+RECENT_SECONDS = 2.0
+TAKE_OFFICE_SECONDS = 1.0
+
+
+class GroupProbes:
+    """Probes a group's servers and feeds the detector of its primary.
+
+    Attributes:
+      detector: The detector of the row's primary.
+      row: The group's newest row.
+      row_since: When the row was taken, in seconds.
+    """
+
+    def __init__(
+        self,
+        servers: Mapping[str, ServerControl],
+        timer: Timer,
+        on_result: Callable[[ProbeResult], None],
+    ) -> None:
+        self.timer = timer
+        self.on_result = on_result
+        self.detector = PrimaryDetector()
+        self.row: GroupRow | None = None
+        self.row_since = 0.0
+        self.coordinating = False
+        self.probes = {
+            name: ServerProbe(
+                server, CALM_INTERVAL_SECONDS, timer, self.take_result
+            )
+            for name, server in servers.items()
+        }
+
+    def start(self) -> None:
+        """Begin to probe."""
+        for probe in self.probes.values():
+            probe.start()
+
+    async def close(self) -> None:
+        """Stop probing."""
+        await asyncio.gather(*(one.close() for one in self.probes.values()))
+
+    def add(self, server: ServerControl) -> None:
+        """Probe a server that joined the group."""
+        probe = ServerProbe(
+            server, CALM_INTERVAL_SECONDS, self.timer, self.take_result
+        )
+        self.probes[server.name] = probe
+        probe.start()
+        self.set_pace()
+
+    async def remove(self, name: str) -> None:
+        """Stop probing a server that left the group."""
+        probe = self.probes.pop(name, None)
+        if probe is not None:
+            await probe.close()
+
+    @property
+    def primary(self) -> str:
+        """Return the name of the row's primary; empty for none."""
+        return self.row.primary if self.row else ""
+
+    def take_row(self, row: GroupRow, coordinating: bool) -> None:
+        """Take the group's newest row.
+
+        Args:
+          row: The row.
+          coordinating: Whether this VM keeps the group in order.
+        """
+        now = self.timer.now()
+        changed = self.row is None or self.row.term != row.term
+        self.row = row
+        self.coordinating = coordinating
+        if changed:
+            self.row_since = now
+            self.detector.reset(now)
+        self.set_pace()
+
+    def set_pace(self) -> None:
+        """Probe often where this VM coordinates or the primary is silent."""
+        hasty = self.coordinating or self.detector.misses > 0
+        interval = PROBE_INTERVAL_SECONDS if hasty else CALM_INTERVAL_SECONDS
+        for probe in self.probes.values():
+            probe.hasten(interval)
+
+    def take_result(self, result: ProbeResult) -> None:
+        """Feed the detector with a probe's result."""
+        if result.server != self.primary:
+            if result.report is not None:
+                self.detector.other_answered(result.sent_at)
+        elif result.report is None:
+            self.take_primary_silence(result)
+        elif self.serves(result.report, result.ended_at):
+            self.detector.answered(result.sent_at, result.ended_at)
+        else:
+            self.detector.missed(result.sent_at, result.ended_at)
+        self.set_pace()
+        self.on_result(result)
+
+    def take_primary_silence(self, result: ProbeResult) -> None:
+        """Feed the detector with a probe that brought no report."""
+        if result.alive:
+            self.detector.answered(result.sent_at, result.ended_at)
+        elif result.refused:
+            self.detector.refused(result.sent_at)
+        else:
+            self.detector.missed(result.sent_at, result.ended_at)
+
+    def serves(self, report: ServerReport, now: float) -> bool:
+        """Return whether the primary's report fits its office.
+
+        A primary that lost its state answers, but not as the primary of the
+        term. It is given `TAKE_OFFICE_SECONDS` after the row changed.
+        """
+        row = self.row
+        if row is None or row.phase is not GroupPhase.ACTIVE:
+            return True
+        if report.term > row.term:
+            return True
+        if report.term == row.term and report.role is ServerRole.PRIMARY:
+            return True
+        return now - self.row_since < TAKE_OFFICE_SECONDS
+
+    def reports(self) -> dict[str, ServerReport]:
+        """Return the newest reports that are recent."""
+        horizon = self.timer.now() - RECENT_SECONDS
+        return {
+            name: probe.latest.report
+            for name, probe in self.probes.items()
+            if probe.latest is not None
+            and probe.latest.report is not None
+            and probe.latest.sent_at >= horizon
+        }
+
+    def probe_soon(self, name: str) -> None:
+        """Probe a server at once."""
+        probe = self.probes.get(name)
+        if probe is not None:
+            probe.arm(0.0)
+
+    async def refresh_primary(self) -> None:
+        """Probe the primary unless its newest answer is fresh."""
+        probe = self.probes.get(self.primary)
+        if probe is None:
+            return
+        if self.detector.silent_seconds(self.timer.now()) > FRESH_SECONDS:
+            await probe.probe()
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/primary_watch.py
@@ -0,0 +1,189 @@
+"""Replaces a primary that the homes of its group hold to have failed."""
+
+from jackdawcrank.groups.group_context import GroupContext
+from jackdawcrank.groups.group_probes import GroupProbes
+from jackdawcrank.groups.promotion_driver import PromotionDriver
+from jackdawcrank.groups.suspicion_round import ask_homes
+from jackdawcrank_policy.acknowledgement import Quorum
+from jackdawcrank_policy.coordination import takeover_delay
+from jackdawcrank_policy.detection import (
+    Judgement,
+    PrimaryEvidence,
+    PrimaryHealth,
+    PromotionBackoff,
+)
+from jackdawcrank_policy.promotion import (
+    Abandoned,
+    AbandonReason,
+    PromotionCause,
+)
+from jackdawcrank_policy.values import GroupPhase, GroupRow
+from jackdawcrank_wire.events import EventKind
+
+EARLY_MISSES = 2
+EVIDENCE_SECONDS = 0.6
+RECHECK_SECONDS = 0.02
+RETRY_SECONDS = 0.25
+BLOCKED_RETRY_SECONDS = 1.0
+ALONE_AFTER_SECONDS = 5.0
+
+
+class PrimaryWatch:
+    """Asks the other homes about a silent primary and orders a promotion.
+
+    The round of questions starts before the own suspicion is complete, so
+    that the answers are there when it is.
+
+    Attributes:
+      context: The group.
+      probes: The probes of the group's servers.
+      driver: The group's promotions.
+      backoff: Spaces unplanned promotions.
+      suspicious: Whether a suspicion was raised and not cleared.
+      considering: Whether a round of questions is under way.
+    """
+
+    def __init__(
+        self,
+        context: GroupContext,
+        probes: GroupProbes,
+        driver: PromotionDriver,
+    ) -> None:
+        self.context = context
+        self.probes = probes
+        self.driver = driver
+        self.backoff = PromotionBackoff()
+        self.suspicious = False
+        self.considering = False
+
+    def take_row(self, earlier: GroupRow | None, row: GroupRow) -> None:
+        """Count the promotions of which this VM learns.
+
+        Args:
+          earlier: The row that was known before.
+          row: The newest row.
+        """
+        if earlier is None or earlier.term == row.term:
+            return
+        if row.phase is GroupPhase.ACTIVE and self.suspicious:
+            self.backoff.promoted(self.context.timer.now())
+            self.suspicious = False
+
+    def check(self) -> None:
+        """Begin to ask the other homes once the primary looks silent."""
+        row = self.context.row
+        if row is None or row.phase is not GroupPhase.ACTIVE:
+            return
+        detector = self.probes.detector
+        if self.suspicious and detector.misses == 0:
+            self.suspicious = False
+            self.context.blocked = ""
+            self.context.tell(EventKind.SUSPICION_CLEARED, primary=row.primary)
+        if detector.misses < EARLY_MISSES:
+            return
+        if self.considering or self.driver.busy or self.context.closed:
+            return
+        self.considering = True
+        self.context.tasks.spawn(self.consider(row))
+
+    async def consider(self, row: GroupRow) -> None:
+        """Judge a silent primary until it answers or is replaced."""
+        try:
+            while await self.consider_once(row):
+                await self.context.pause(RETRY_SECONDS)
+        finally:
+            self.considering = False
+
+    async def consider_once(self, row: GroupRow) -> bool:
+        """Judge a silent primary once; return whether to judge it again."""
+        now = self.context.timer.now
+        asked_at = now()
+        judgement = await self.ask()
+        health = await self.own_suspicion(row)
+        if health is None or self.context.row != row or self.driver.busy:
+            return False
+        if now() - asked_at > EVIDENCE_SECONDS:
+            judgement = await self.ask()
+            if self.context.row != row or self.driver.busy:
+                return False
+        self.raise_suspicion(row, health, judgement)
+        obstacle = self.obstacle(row, judgement)
+        if obstacle:
+            self.context.block(obstacle)
+            return True
+        end = await self.driver.promote(PromotionCause.FAILURE)
+        if not isinstance(end, Abandoned):
+            return False
+        await self.context.pause(BLOCKED_RETRY_SECONDS)
+        return end.reason is AbandonReason.STORE_UNAVAILABLE
+
+    async def ask(self) -> Judgement:
+        """Return the judgement of the homes that can be reached."""
+        health = self.probes.detector.corroborating_health(
+            self.context.timer.now()
+        )
+        return await ask_homes(
+            self.evidence(health), self.context.homes, self.context.peers
+        )
+
+    async def own_suspicion(self, row: GroupRow) -> PrimaryHealth | None:
+        """Wait for this VM's own suspicion and its turn among the homes.
+
+        Returns:
+          None if the primary answers again or the row has changed.
+        """
+        detector = self.probes.detector
+        while self.context.row == row and detector.misses:
+            health = detector.health(self.context.timer.now())
+            if health is PrimaryHealth.CUT_OFF:
+                self.context.block("this VM reaches no server of the group")
+            if health.is_suspicious:
+                await self.context.pause(takeover_delay(self.context.rank or 0))
+                return health if detector.misses else None
+            await self.context.pause(RECHECK_SECONDS)
+        return None
+
+    def raise_suspicion(
+        self, row: GroupRow, health: PrimaryHealth, judgement: Judgement
+    ) -> None:
+        """Record a suspicion once."""
+        if self.suspicious:
+            return
+        self.suspicious = True
+        self.context.tell(
+            EventKind.SUSPICION_RAISED,
+            primary=row.primary,
+            health=health,
+            judgement=judgement,
+        )
+
+    def obstacle(self, row: GroupRow, judgement: Judgement) -> str:
+        """Return what keeps a suspected primary in office, or nothing."""
+        now = self.context.timer.now()
+        if self.context.rank is None:
+            return "this VM is not a home of the group"
+        if not judgement.calls_for_promotion:
+            return f"the homes judge the primary {judgement}"
+        if self.backoff.ready_at(now) > now:
+            return "the last promotions were too recent"
+        reached = self.probes.reports().keys() - {row.primary}
+        if len(reached) >= Quorum(len(self.context.servers)).fence_count:
+            return ""
+        silent = self.probes.detector.silent_seconds(now)
+        if silent < ALONE_AFTER_SECONDS or self.context.spec.confirm_writes:
+            return "too few servers can be fenced"
+        return ""
+
+    def evidence(self, health: PrimaryHealth) -> PrimaryEvidence:
+        """Return what this VM has seen of the primary."""
+        now = self.context.timer.now()
+        row = self.context.row
+        return PrimaryEvidence(
+            vm=self.context.vm,
+            group=self.context.spec.name,
+            term=row.term if row else 0,
+            primary=self.probes.primary,
+            health=health,
+            silent_seconds=self.probes.detector.silent_seconds(now),
+            coordinating=self.driver.busy,
+        )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_driver.py
@@ -0,0 +1,142 @@
+"""Plans and runs the promotions of one group."""
+
+from collections.abc import Callable
+
+from jackdawcrank.groups.group_context import GroupContext
+from jackdawcrank.groups.group_probes import GroupProbes
+from jackdawcrank.groups.promotion_runner import PromotionRunner
+from jackdawcrank_policy.promotion import (
+    Abandoned,
+    AbandonReason,
+    Action,
+    ClaimTerm,
+    Event,
+    Fenced,
+    Finished,
+    OpenTerm,
+    Promotion,
+    PromotionCause,
+    PromotionPlan,
+    Timer,
+    TimerFired,
+)
+from jackdawcrank_policy.values import GroupRow
+from jackdawcrank_wire.events import EventKind
+
+
+class PromotionDriver:
+    """Runs one promotion at a time and records its steps.
+
+    Attributes:
+      context: The group.
+      probes: The probes of the group's servers.
+      store_row: Applies a row that this VM wrote.
+      runner: The promotion under way; None for none.
+    """
+
+    def __init__(
+        self,
+        context: GroupContext,
+        probes: GroupProbes,
+        store_row: Callable[[GroupRow, int], None],
+    ) -> None:
+        self.context = context
+        self.probes = probes
+        self.store_row = store_row
+        self.runner: PromotionRunner | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a promotion is under way."""
+        return self.runner is not None
+
+    async def promote(
+        self, cause: PromotionCause, target: str | None = None
+    ) -> Finished | Abandoned:
+        """Run one promotion to its end.
+
+        Args:
+          cause: Why the term is claimed.
+          target: The server to prefer.
+        """
+        assert self.runner is None
+        context = self.context
+        plan = self.plan(cause, target)
+        context.tell(EventKind.PROMOTION_STARTED, cause=cause)
+        self.runner = PromotionRunner(
+            Promotion(plan),
+            context.servers,
+            context.store,
+            context.peers,
+            context.leases,
+            context.timer,
+            context.tasks,
+            self.store_row,
+            self.tell_step,
+        )
+        try:
+            end = await self.runner.run()
+        finally:
+            self.runner = None
+        self.tell_end(end)
+        return end
+
+    def plan(self, cause: PromotionCause, target: str | None) -> PromotionPlan:
+        """Return the facts that a promotion starts from."""
+        context = self.context
+        history = context.history
+        reports = self.probes.reports().values()
+        avoid = context.avoid
+        if cause is PromotionCause.FAILURE and context.row is not None:
+            avoid = avoid | {context.row.primary}
+        return PromotionPlan(
+            group=context.spec.name,
+            vm=context.vm,
+            cause=cause,
+            expected=context.row,
+            servers=tuple(sorted(context.servers)),
+            writers=tuple(
+                home for home in context.homes if home in context.live
+            ),
+            target=target,
+            avoid=avoid,
+            highest_term=max((one.term for one in reports), default=0),
+            leases_out_at=history.leases_out_at(),
+            quick_from=history.quick_from,
+            writers_complete=history.writers_complete,
+            confirm_writes=context.spec.confirm_writes,
+        )
+
+    def tell_step(self, step: Action | Event) -> None:
+        """Record a step of the promotion."""
+        tell = self.context.tell
+        match step:
+            case ClaimTerm():
+                tell(EventKind.PROMOTION_PREPARING, claim=step.row.term)
+            case Fenced(report):
+                tell(
+                    EventKind.PROMOTION_SERVER_FENCED,
+                    server=report.server,
+                    position=report.position,
+                )
+            case TimerFired(Timer.LEASES):
+                tell(EventKind.PROMOTION_LEASES_ENDED)
+            case OpenTerm():
+                tell(
+                    EventKind.PROMOTION_PRIMARY_CHOSEN,
+                    primary=step.row.primary,
+                    offset=step.row.branch.starts[-1].offset,
+                )
+
+    def tell_end(self, end: Finished | Abandoned) -> None:
+        """Record the end of the promotion."""
+        if isinstance(end, Finished):
+            self.context.tell(
+                EventKind.PROMOTION_FINISHED,
+                primary=end.row.primary,
+                announced=end.announced,
+            )
+        elif end.reason is AbandonReason.SUPERSEDED:
+            self.context.tell(EventKind.PROMOTION_ABANDONED, reason=end.reason)
+        else:
+            self.context.block(end.reason)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_runner.py
@@ -0,0 +1,237 @@
+"""Carries out the actions of one promotion."""
+
+import asyncio
+import functools
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
+
+from jackdawcrank.backend.server_control import (
+    Accepted,
+    Refused,
+    ServerControl,
+)
+from jackdawcrank.backend.server_control import (
+    Unreachable as ServerUnreachable,
+)
+from jackdawcrank.groups.background_tasks import BackgroundTasks
+from jackdawcrank.groups.group_peers import GroupPeers
+from jackdawcrank.groups.group_store import (
+    Conflict,
+    GroupStore,
+    Stored,
+    StoreUnavailable,
+)
+from jackdawcrank.timer import Subscription, Timer
+from jackdawcrank_policy.lease import LeaseTable
+from jackdawcrank_policy.promotion import (
+    Abandoned,
+    Action,
+    Announced,
+    AnnounceFailed,
+    AnnouncePrimary,
+    AskGiveUp,
+    ClaimConflict,
+    Claimed,
+    ClaimTerm,
+    Event,
+    Fenced,
+    FenceRefused,
+    FenceServer,
+    Finished,
+    LeaseGivenUp,
+    OpenConflict,
+    Opened,
+    OpenTerm,
+    Probed,
+    ProbeServer,
+    Promotion,
+    SetTimer,
+    StoreLost,
+    TimerFired,
+    Unreachable,
+)
+from jackdawcrank_policy.values import GroupRow
+
+SERVER_TIMEOUT_SECONDS = 0.5
+GIVE_UP_TIMEOUT_SECONDS = 0.5
+GIVE_UP_TRIES = 6
+
+RowCallback = Callable[[GroupRow, int], None]
+
+
+class PromotionRunner:
+    """Runs a `Promotion` from its start to its end.
+
+    Attributes:
+      promotion: The step machine.
+    """
+
+    def __init__(
+        self,
+        promotion: Promotion,
+        servers: Mapping[str, ServerControl],
+        store: GroupStore,
+        peers: GroupPeers,
+        leases: LeaseTable,
+        timer: Timer,
+        tasks: BackgroundTasks,
+        on_row: RowCallback,
+        on_step: Callable[[Action | Event], None],
+    ) -> None:
+        self.promotion = promotion
+        self.servers = servers
+        self.store = store
+        self.peers = peers
+        self.leases = leases
+        self.timer = timer
+        self.tasks = tasks
+        self.on_row = on_row
+        self.on_step = on_step
+        self.events: asyncio.Queue[Event] = asyncio.Queue()
+        self.timers: dict[str, Subscription] = {}
+        self.over = False
+
+    async def run(self) -> Finished | Abandoned:
+        """Carry the promotion through and return how it ended."""
+        actions = self.promotion.start(self.timer.now())
+        try:
+            while True:
+                for action in actions:
+                    if isinstance(action, Finished | Abandoned):
+                        return action
+                    self.execute(action)
+                event = await self.events.get()
+                self.on_step(event)
+                actions = self.promotion.on(event, self.timer.now())
+        finally:
+            self.over = True
+            for timer in self.timers.values():
+                timer.close()
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the promotion."""
+        if not self.over:
+            self.events.put_nowait(event)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Carry out one action beside the others."""
+        self.tasks.spawn(work)
+
+    @functools.singledispatchmethod
+    def execute(self, action: Action) -> None:
+        """Begin to carry out an action."""
+        raise TypeError(f"not an action of a promotion: {action!r}")
+
+    @execute.register
+    def _(self, action: ClaimTerm) -> None:
+        self.on_step(action)
+        self.spawn(self.claim(action))
+
+    @execute.register
+    def _(self, action: OpenTerm) -> None:
+        self.on_step(action)
+        self.spawn(self.open(action))
+
+    @execute.register
+    def _(self, action: FenceServer) -> None:
+        self.spawn(self.fence(action))
+
+    @execute.register
+    def _(self, action: ProbeServer) -> None:
+        self.spawn(self.probe(action))
+
+    @execute.register
+    def _(self, action: AskGiveUp) -> None:
+        self.spawn(self.ask_give_up(action))
+
+    @execute.register
+    def _(self, action: AnnouncePrimary) -> None:
+        self.spawn(self.announce(action))
+
+    @execute.register
+    def _(self, action: SetTimer) -> None:
+        earlier = self.timers.pop(action.timer, None)
+        if earlier is not None:
+            earlier.close()
+
+        async def fire(now: float) -> None:
+            self.post(TimerFired(action.timer))
+
+        delay = max(0.0, action.at - self.timer.now())
+        self.timers[action.timer] = self.timer.call_later(delay, fire)
+
+    async def claim(self, action: ClaimTerm) -> None:
+        """Claim the term in the store."""
+        outcome = await self.store.claim(action.expected, action.row)
+        match outcome:
+            case Stored(version):
+                self.on_row(action.row, version)
+                self.post(Claimed(action.row))
+            case Conflict(current):
+                self.post(ClaimConflict(current))
+            case StoreUnavailable():
+                self.post(StoreLost())
+
+    async def open(self, action: OpenTerm) -> None:
+        """Open the term in the store."""
+        outcome = await self.store.claim(action.expected, action.row)
+        match outcome:
+            case Stored(version):
+                self.on_row(action.row, version)
+                self.post(Opened(action.row))
+            case Conflict(current):
+                self.post(OpenConflict(current))
+            case StoreUnavailable():
+                self.post(StoreLost())
+
+    async def fence(self, action: FenceServer) -> None:
+        """Fence a server, then read its position."""
+        server = self.servers[action.server]
+        answer = await server.fence(action.term, SERVER_TIMEOUT_SECONDS)
+        if isinstance(answer, Refused):
+            self.post(FenceRefused(action.server, answer.detail))
+            return
+        if isinstance(answer, ServerUnreachable):
+            self.post(Unreachable(action.server))
+            return
+        report = await server.probe(SERVER_TIMEOUT_SECONDS)
+        if isinstance(report, ServerUnreachable):
+            self.post(Unreachable(action.server))
+        else:
+            self.post(Fenced(report))
+
+    async def probe(self, action: ProbeServer) -> None:
+        """Read a server's position."""
+        server = self.servers[action.server]
+        report = await server.probe(SERVER_TIMEOUT_SECONDS)
+        if isinstance(report, ServerUnreachable):
+            self.post(Unreachable(action.server))
+        else:
+            self.post(Probed(report))
+
+    async def ask_give_up(self, action: AskGiveUp) -> None:
+        """Ask a writer for its promise, again while none comes."""
+        group = self.promotion.plan.group
+        if action.vm == self.promotion.plan.vm:
+            self.leases.give_up(group, action.term - 1)
+            self.post(LeaseGivenUp(action.vm))
+            return
+        for _ in range(GIVE_UP_TRIES):
+            if self.over:
+                return
+            if await self.peers.give_up_lease(
+                action.vm, group, action.term, GIVE_UP_TIMEOUT_SECONDS
+            ):
+                self.post(LeaseGivenUp(action.vm))
+                return
+            await asyncio.sleep(GIVE_UP_TIMEOUT_SECONDS / 2)
+
+    async def announce(self, action: AnnouncePrimary) -> None:
+        """Tell a server of the open term."""
+        answer = await self.servers[action.server].announce_primary(
+            action.term, action.offset, action.primary, SERVER_TIMEOUT_SECONDS
+        )
+        if isinstance(answer, Accepted):
+            self.post(Announced(action.server))
+        else:
+            self.post(AnnounceFailed(action.server))
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/server_alignment.py
@@ -0,0 +1,82 @@
+"""Brings servers that are not in the open term into it."""
+
+from jackdawcrank.backend.server_control import Refused
+from jackdawcrank.groups.group_context import GroupContext
+from jackdawcrank_policy.coordination import Announcement, alignment
+from jackdawcrank_policy.values import ServerReport
+from jackdawcrank_wire.events import EventKind
+
+ALIGN_INTERVAL_SECONDS = 1.0
+ALIGN_TIMEOUT_SECONDS = 0.5
+
+
+class ServerAlignment:
+    """Fences servers with the open term and names its primary to them.
+
+    Attributes:
+      context: The group.
+      divergent: For each server that returned with entries that the open
+        term dropped, how many they were.
+      tried_at: When each server was last told, in seconds.
+    """
+
+    def __init__(self, context: GroupContext) -> None:
+        self.context = context
+        self.divergent: dict[str, int] = {}
+        self.tried_at: dict[str, float] = {}
+
+    def check(self, report: ServerReport) -> None:
+        """Tell a server of the open term if its report does not fit.
+
+        Args:
+          report: The server's newest report.
+        """
+        row = self.context.row
+        if row is None or not self.context.is_acting:
+            return
+        announcement = alignment(row, report)
+        if announcement is None:
+            return
+        now = self.context.timer.now()
+        tried_at = self.tried_at.get(report.server)
+        if tried_at is not None and now - tried_at < ALIGN_INTERVAL_SECONDS:
+            return
+        self.tried_at[report.server] = now
+        self.context.tasks.spawn(self.align(announcement, report))
+
+    async def align(
+        self, announcement: Announcement, report: ServerReport
+    ) -> None:
+        """Fence a server with the open term, then name its primary."""
+        server = self.context.servers.get(announcement.server)
+        if server is None:
+            return
+        if report.term < announcement.term:
+            answer = await server.fence(
+                announcement.term, ALIGN_TIMEOUT_SECONDS
+            )
+            if isinstance(answer, Refused):
+                return
+        if announcement.divergent_entries:
+            self.tell_divergence(announcement, report)
+        await server.announce_primary(
+            announcement.term,
+            announcement.offset,
+            announcement.primary,
+            ALIGN_TIMEOUT_SECONDS,
+        )
+
+    def tell_divergence(
+        self, announcement: Announcement, report: ServerReport
+    ) -> None:
+        """Report the entries that a returning server is about to drop."""
+        entries = announcement.divergent_entries
+        if self.divergent.get(report.server) == entries:
+            return
+        self.divergent[report.server] = entries
+        self.context.tell(
+            EventKind.DIVERGENT_TAIL,
+            server=report.server,
+            entries=entries,
+            position=report.position,
+        )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/suspicion_round.py
@@ -0,0 +1,66 @@
+"""One round of asking the homes of a group about its primary."""
+
+import asyncio
+from collections.abc import Iterable
+
+from jackdawcrank.groups.group_peers import GroupPeers
+from jackdawcrank_policy.detection import (
+    Judgement,
+    PrimaryEvidence,
+    judge,
+)
+
+ASK_TIMEOUT_SECONDS = 0.5
+
+
+async def ask_homes(
+    own: PrimaryEvidence, homes: Iterable[str], peers: GroupPeers
+) -> Judgement:
+    """Return the judgement of the homes that can be reached.
+
+    The round ends early once the answers of the homes still missing could
+    not change a call for promotion.
+
+    Args:
+      own: The asking VM's own evidence.
+      homes: The group's homes.
+      peers: The other VMs.
+    """
+    others = [home for home in homes if home != own.vm]
+    evidence = [own]
+    asked = [
+        asyncio.create_task(
+            peers.ask_suspicion(home, own.group, ASK_TIMEOUT_SECONDS)
+        )
+        for home in others
+    ]
+    try:
+        for left, answer in _countdown(asked):
+            found = await answer
+            if found is not None:
+                evidence.append(found)
+            if left and _is_settled(evidence, own.primary, left):
+                break
+    finally:
+        for task in asked:
+            task.cancel()
+    return judge(evidence, own.primary)
+
+
+def _countdown(
+    asked: list[asyncio.Task[PrimaryEvidence | None]],
+) -> Iterable[tuple[int, asyncio.Future[PrimaryEvidence | None]]]:
+    left = len(asked)
+    for answer in asyncio.as_completed(asked):
+        left -= 1
+        yield left, answer
+
+
+def _is_settled(
+    evidence: list[PrimaryEvidence], primary: str, left: int
+) -> bool:
+    """Return whether a promotion is called for whatever the rest answers."""
+    if not judge(evidence, primary).calls_for_promotion:
+        return False
+    suspecting = sum(1 for one in evidence if one.is_suspicious)
+    return suspecting > len(evidence) - suspecting + left
