--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/membership/test_membership.py
@@ -0,0 +1,162 @@
+"""Tests of membership from a list, leases and streams."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jackdawcrank_policy.membership import LeaseReading, Membership
+from jackdawcrank_policy.values import Vm, VmState
+
+OWN = Vm("vm-0", "10.0.0.1", 1, 2)
+LEASE_SECONDS = 15.0
+READ_SECONDS = 5.0
+
+
+def vm(name: str, state: VmState = VmState.LIVE) -> Vm:
+    return Vm(name, "10.0.0.2", 1, 2, state=state)
+
+
+def reading(
+    counter: int, boot: str = "b1", leaving: bool = False
+) -> LeaseReading:
+    return LeaseReading("vm-1", boot, counter, LEASE_SECONDS, leaving)
+
+
+@pytest.fixture
+def membership() -> Membership:
+    found = Membership(OWN)
+    found.listed([OWN, vm("vm-1")])
+    return found
+
+
+def read_unmoved(membership: Membership, start: float, count: int) -> float:
+    now = start
+    for _ in range(count):
+        membership.lease_read(reading(1), None, now)
+        now += READ_SECONDS
+    return now
+
+
+def test_the_list_alone_decides_without_evidence(
+    membership: Membership,
+) -> None:
+    assert membership.view(1e6).live == ("vm-0", "vm-1")
+
+
+def test_a_listed_vm_whose_lease_stands_still_is_left_out(
+    membership: Membership,
+) -> None:
+    now = read_unmoved(membership, 0.0, 4)
+    assert "vm-1" in membership.view(now).live
+    now = read_unmoved(membership, now, 1)
+    assert membership.view(now).live == ("vm-0",)
+
+
+def test_an_outage_between_two_readings_proves_nothing(
+    membership: Membership,
+) -> None:
+    membership.lease_read(reading(1), None, 0.0)
+    membership.lease_read(reading(1), None, 600.0)
+    assert "vm-1" in membership.view(600.0).live
+
+
+def test_a_listed_vm_whose_streams_fail_is_left_out(
+    membership: Membership,
+) -> None:
+    membership.lease_read(reading(1), None, 9.0)
+    membership.stream_failed("vm-1", 10.0)
+    assert "vm-1" in membership.view(12.9).live
+    assert membership.view(13.0).live == ("vm-0",)
+    assert membership.suspects() == ("vm-1",)
+
+
+def test_a_renewal_speaks_for_a_vm_that_only_this_one_cannot_reach(
+    membership: Membership,
+) -> None:
+    membership.lease_read(reading(1), None, 9.0)
+    membership.stream_failed("vm-1", 10.0)
+    membership.lease_read(reading(2), None, 14.0)
+    assert "vm-1" in membership.view(14.0).live
+
+
+def test_a_stream_speaks_for_a_vm_that_cannot_renew(
+    membership: Membership,
+) -> None:
+    now = read_unmoved(membership, 0.0, 6)
+    membership.heard("vm-1", None, now)
+    assert "vm-1" in membership.view(now + 1).live
+
+
+def test_an_unlisted_vm_that_renews_is_taken_in() -> None:
+    membership = Membership(OWN)
+    membership.listed([OWN])
+    membership.lease_read(reading(1), vm("vm-1"), 0.0)
+    assert membership.view(0.0).live == ("vm-0",)
+    membership.lease_read(reading(2), vm("vm-1"), 5.0)
+    view = membership.view(5.0)
+    assert view.live == ("vm-0", "vm-1")
+    assert view.vms["vm-1"] == vm("vm-1")
+
+
+def test_an_unlisted_vm_that_is_heard_is_taken_in() -> None:
+    membership = Membership(OWN)
+    membership.heard("vm-1", vm("vm-1"), 1.0)
+    assert membership.view(2.0).live == ("vm-0", "vm-1")
+    assert membership.view(12.0).live == ("vm-0",)
+
+
+@pytest.mark.parametrize("source", ["list", "lease", "announcement"])
+def test_a_leaving_vm_is_no_longer_live(
+    membership: Membership, source: str
+) -> None:
+    if source == "list":
+        membership.listed([OWN, vm("vm-1", VmState.LEAVING)])
+    elif source == "lease":
+        membership.lease_read(reading(1, leaving=True), None, 0.0)
+    else:
+        membership.announced_leaving("vm-1")
+    view = membership.view(0.0)
+    assert view.live == ("vm-0",)
+    assert view.leaving == ("vm-1",)
+
+
+def test_a_new_process_of_a_vm_that_left_is_live(
+    membership: Membership,
+) -> None:
+    membership.lease_read(reading(7, leaving=True), None, 0.0)
+    membership.lease_read(reading(1, boot="b2"), None, 5.0)
+    assert membership.view(5.0).live == ("vm-0", "vm-1")
+
+
+def test_own_leaving_removes_this_vm_from_its_own_view(
+    membership: Membership,
+) -> None:
+    membership.leaving = True
+    assert membership.view(0.0).live == ("vm-1",)
+
+
+def test_silent_unlisted_vms_are_forgotten() -> None:
+    membership = Membership(OWN)
+    membership.lease_read(reading(1), vm("vm-1"), 0.0)
+    membership.forget(299.0)
+    assert "vm-1" in membership.evidence
+    membership.forget(301.0)
+    assert "vm-1" not in membership.evidence
+
+
+@given(
+    periods=st.lists(st.floats(0.5, 7.0), min_size=1, max_size=40),
+    outages=st.lists(st.booleans(), min_size=40, max_size=40),
+)
+def test_a_renewing_vm_is_never_left_out(
+    periods: list[float], outages: list[bool]
+) -> None:
+    """Reads may fail for as long as they like; the row moves all the time."""
+    membership = Membership(OWN)
+    membership.listed([OWN, vm("vm-1")])
+    now = 0.0
+    for period, out in zip(periods, outages, strict=False):
+        now += period
+        if not out:
+            membership.lease_read(reading(int(now / 5)), None, now)
+        assert "vm-1" in membership.view(now).live
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/openapi.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/openapi.py
@@ -243,3 +243,7 @@
         "properties": properties,
     }
     return {"type": "object", "properties": {"error": error}}
+
+
+if __name__ == "__main__":
+    print(openapi_text(), end="")
