--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/framing/frame_writer.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/framing/frame_writer.py
@@ -48,13 +48,13 @@
         """Wait until the buffer is below its bound.
 
         Returns:
-          False if the connection was lost.
+          False if the connection is closing or lost.
         """
         try:
             await self.writer.drain()
         except OSError:
             return False
-        return True
+        return not self.writer.is_closing()
 
     async def close(self) -> None:
         """Close the connection once the buffer is sent."""
--- /dev/null
+++ b/packages/jackdawcrank-wire/tests/events/conftest.py
@@ -0,0 +1,25 @@
+import collections.abc
+
+import pytest
+
+from jackdawcrank_wire.events import EventKind, TimelineEvent
+
+EventMaker = collections.abc.Callable[..., TimelineEvent]
+
+
+@pytest.fixture
+def make_event() -> EventMaker:
+    def make(
+        vm: str,
+        sequence: int,
+        wall: float,
+        kind: EventKind | str = EventKind.CONFIG_APPLIED,
+        group: str = "",
+        term: int = 0,
+        **detail: str,
+    ) -> TimelineEvent:
+        return TimelineEvent(
+            vm, "b1", sequence, wall, wall, kind, group, term, "", detail
+        )
+
+    return make
--- /dev/null
+++ b/packages/jackdawcrank-wire/tests/events/test_merge.py
@@ -0,0 +1,100 @@
+"""The order of many VMs' events."""
+
+import collections.abc
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from jackdawcrank_wire.events import EventKind, TimelineEvent, merge_events
+
+EventMaker = collections.abc.Callable[..., TimelineEvent]
+
+
+def names(events: list[TimelineEvent]) -> list[str]:
+    return [f"{event.vm}{event.sequence}" for event in events]
+
+
+def test_wall_clocks_decide_without_hints(make_event: EventMaker) -> None:
+    events = [make_event("a", 1, 1.0), make_event("b", 1, 2.0)]
+    events += [make_event("a", 2, 3.0), make_event("b", 2, 2.5)]
+    assert names(merge_events(events)) == ["a1", "b1", "b2", "a2"]
+
+
+def test_sequence_beats_a_clock_that_was_set_back(
+    make_event: EventMaker,
+) -> None:
+    events = [make_event("a", 2, 1.0), make_event("a", 1, 5.0)]
+    assert names(merge_events(events)) == ["a1", "a2"]
+
+
+def test_a_lower_term_comes_first_despite_the_clock(
+    make_event: EventMaker,
+) -> None:
+    events = [
+        make_event("fast", 1, 90.0, group="soil", term=4),
+        make_event("slow", 1, 10.0, group="soil", term=5),
+        make_event("slow", 2, 11.0, group="wood", term=9),
+    ]
+    assert names(merge_events(events)) == ["fast1", "slow1", "slow2"]
+
+
+def test_a_lower_configuration_comes_first(make_event: EventMaker) -> None:
+    events = [
+        make_event("b", 1, 1.0, config_version="8"),
+        make_event("a", 1, 7.0, config_version="7"),
+    ]
+    assert names(merge_events(events)) == ["a1", "b1"]
+
+
+def test_hints_that_contradict_each_other_fall_back_to_the_clock(
+    make_event: EventMaker,
+) -> None:
+    events = [
+        make_event("a", 1, 1.0, group="soil", term=2),
+        make_event("a", 2, 2.0, group="wood", term=1),
+        make_event("b", 1, 3.0, group="wood", term=2),
+        make_event("b", 2, 4.0, group="soil", term=1),
+    ]
+    assert names(merge_events(events)) == ["a1", "a2", "b1", "b2"]
+
+
+def test_an_event_that_came_twice_appears_once(
+    make_event: EventMaker,
+) -> None:
+    event = make_event("a", 1, 1.0)
+    assert merge_events([event, event]) == [event]
+
+
+EVENTS = st.lists(
+    st.builds(
+        TimelineEvent,
+        vm=st.sampled_from("abc"),
+        boot=st.sampled_from("12"),
+        sequence=st.integers(1, 6),
+        monotonic=st.just(0.0),
+        wall=st.floats(0, 9),
+        kind=st.just(EventKind.LEASE_LOST),
+        group=st.sampled_from(["", "soil", "wood"]),
+        term=st.integers(0, 3),
+        detail=st.dictionaries(
+            st.just("config_version"), st.sampled_from(["1", "2", "x"])
+        ),
+    ),
+    max_size=25,
+    unique_by=lambda event: (event.vm, event.boot, event.sequence),
+)
+
+
+@given(events=EVENTS, seed=st.integers(0, 9))
+def test_merging_keeps_every_event_and_each_process_in_order(
+    events: list[TimelineEvent], seed: int
+) -> None:
+    merged = merge_events(events)
+    assert sorted(map(repr, merged)) == sorted(map(repr, events))
+    seen: dict[tuple[str, str], int] = {}
+    for event in merged:
+        assert event.sequence > seen.get((event.vm, event.boot), 0)
+        seen[event.vm, event.boot] = event.sequence
+    random.Random(seed).shuffle(events)
+    assert merge_events(events) == merged
--- /dev/null
+++ b/packages/jackdawcrank-wire/tests/events/test_trace_events.py
@@ -0,0 +1,40 @@
+"""The time line in the trace-event format."""
+
+import collections.abc
+import json
+
+from jackdawcrank_wire.events import EventKind, TimelineEvent, to_trace_events
+
+EventMaker = collections.abc.Callable[..., TimelineEvent]
+
+
+def test_vms_are_processes_and_groups_are_threads(
+    make_event: EventMaker,
+) -> None:
+    events = [
+        make_event("a", 1, 1.0, EventKind.VM_STARTED),
+        make_event("a", 2, 2.0, EventKind.LEASE_LOST, "soil", 3, reason="x"),
+        make_event("b", 1, 3.0, EventKind.LEASE_GAINED, "soil", 3),
+    ]
+    entries = json.loads(to_trace_events(events))["traceEvents"]
+    names = [entry["args"]["name"] for entry in entries if entry["ph"] == "M"]
+    assert names == ["a", "b", "proxy", "soil", "soil"]
+    instants = [entry for entry in entries if entry["ph"] == "i"]
+    assert [entry["ts"] for entry in instants] == [1e6, 2e6, 3e6]
+    assert [(entry["pid"], entry["tid"]) for entry in instants] == [
+        (1, 1),
+        (1, 2),
+        (2, 3),
+    ]
+    assert instants[1]["args"]["reason"] == "x"
+
+
+def test_a_promotion_is_a_span(make_event: EventMaker) -> None:
+    events = [
+        make_event("a", 1, 1.0, EventKind.PROMOTION_STARTED, "soil", 4),
+        make_event("a", 2, 2.0, EventKind.PROMOTION_FINISHED, "soil", 4),
+    ]
+    entries = json.loads(to_trace_events(events))["traceEvents"]
+    spans = [entry for entry in entries if entry["name"] == "promotion"]
+    assert [entry["ph"] for entry in spans] == ["b", "e"]
+    assert {entry["id"] for entry in spans} == {"soil/4"}
