--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/connection.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/connection.py
@@ -152,8 +152,8 @@
             raise
         except Exception as error:  # noqa: BLE001
             self.server.note_broken(error)
-            failure = unknown_error(f"{type(error).__name__}: {error}")
-            await self.write_packets([self.error_packet(failure)])
+            answer = unknown_error(f"{type(error).__name__}: {error}")
+            await self.write_packets([self.error_packet(answer)])
 
     async def handle_query(self, data: bytes) -> None:
         """Run COM_QUERY."""
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/server.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/server.py
@@ -143,6 +143,11 @@
         """Return whether the process is paused."""
         return PAUSED in self.process.reasons
 
+    @property
+    def partitioned(self) -> bool:
+        """Return whether clients' packets vanish."""
+        return PARTITIONED in self.network.reasons
+
     @property
     def divergent(self) -> int:
         """Return how many entries were removed as a divergent tail."""
@@ -182,8 +187,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self.process.unblock(PAUSED)
-        self.network.unblock(PAUSED)
+        self.resume()
 
     async def restart(self) -> None:
         """Start again on the same port after a crash."""
@@ -245,6 +249,22 @@
             raise Failure(1094, "HY000", f"Unknown thread id: {number}")
         connection.stream.writer.transport.abort()
 
+    def pause(self) -> None:
+        """Pause the process: it answers nothing, its sockets stay open."""
+        self.process.block(PAUSED)
+        self.network.block(PAUSED)
+
+    def resume(self) -> None:
+        """Let a paused process go on where it was."""
+        self.process.unblock(PAUSED)
+        self.network.unblock(PAUSED)
+        self.group.wake_all()
+
+    def set_lag(self, seconds: float) -> None:
+        """Set how long after its commit an entry is applied here."""
+        self.lag_seconds = seconds
+        self.replication.wake()
+
     def silence(self) -> None:
         """Make all open connections silent for good."""
         for connection in self.connections.values():
--- /dev/null
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/platform/platform.py
@@ -0,0 +1,268 @@
+"""The platform's service over HTTP."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from jackdawcrank_policy.values import Vm
+from jackdawcrank_standins.faults.board import FaultBoard
+from jackdawcrank_standins.faults.fault import Accepted, parse_fault
+from jackdawcrank_standins.store.object_store import (
+    ObjectStore,
+    Stored,
+)
+from jackdawcrank_standins.store.store_faults import StopMode, StoreFaults
+from jackdawcrank_standins.store.table_store import TableStore
+from jackdawcrank_standins.store.transaction import (
+    Committed,
+    Conflicted,
+    parse_transaction,
+)
+from jackdawcrank_standins.store.usage import Usage
+from jackdawcrank_standins.store.vm_list import VmList
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+DEFAULT_SCAN_LIMIT = 1000
+VM_LIST_LAG_SECONDS = 2.0
+CONTROL_PATHS = ("/faults", "/usage")
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Platform:
+    """Tables, objects and the list of VMs, with faults on request.
+
+    Attributes:
+      tables: The table service.
+      objects: The object store.
+      vms: The list of VMs.
+      faults: What is wrong with the service now.
+      usage: Counts what it was asked.
+      board: Switches faults of the service and of backend servers.
+      url: The service's address, once started.
+    """
+
+    def __init__(self, vm_lag_seconds: float = VM_LIST_LAG_SECONDS) -> None:
+        self.tables = TableStore()
+        self.objects = ObjectStore()
+        self.vms = VmList(vm_lag_seconds)
+        self.faults = StoreFaults()
+        self.usage = Usage()
+        self.board = FaultBoard(self.faults, self.vms)
+        self.url = ""
+        self.runner: web.AppRunner | None = None
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Begin to serve.
+
+        Args:
+          host: The IP address to listen on.
+          port: The TCP port; 0 picks a free one.
+        """
+        self.runner = web.AppRunner(self.application(), access_log=None)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, host, port, shutdown_timeout=0.1)
+        await site.start()
+        bound_port = self.runner.addresses[0][1]
+        self.url = f"http://{host}:{bound_port}"
+
+    async def close(self) -> None:
+        """Stop serving."""
+        self.board.close()
+        self.faults.heal()
+        runner, self.runner = self.runner, None
+        if runner is not None:
+            await runner.cleanup()
+
+    def list_vm(self, vm: Vm) -> None:
+        """Add or change a VM; the list shows it at once."""
+        now = asyncio.get_running_loop().time()
+        self.vms.put(vm, now, at_once=True)
+
+    def application(self) -> web.Application:
+        """Return the web application."""
+        application = web.Application(
+            middlewares=[self.apply_faults], client_max_size=MAX_BODY_BYTES
+        )
+        application.add_routes(
+            [
+                web.get("/tables/{table}/{key:.+}", self.get_row),
+                web.get("/tables/{table}", self.scan),
+                web.post("/transactions", self.transact),
+                web.get("/objects", self.list_objects),
+                web.get("/objects/{name:.+}", self.get_object),
+                web.put("/objects/{name:.+}", self.put_object),
+                web.delete("/objects/{name:.+}", self.delete_object),
+                web.get("/vms", self.list_vms),
+                web.get("/faults", self.get_faults),
+                web.post("/faults", self.post_fault),
+                web.get("/usage", self.get_usage),
+            ]
+        )
+        return application
+
+    @web.middleware
+    async def apply_faults(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Serve a request as well as the present faults allow."""
+        if request.path in CONTROL_PATHS:
+            return await handler(request)
+        refusal = await self.before(request)
+        if refusal is not None:
+            return refusal
+        response = await handler(request)
+        self.usage.bytes_in += request.content_length or 0
+        if isinstance(response, web.Response):
+            self.usage.bytes_out += response.content_length or 0
+        if request.method != "GET" and self.faults.loses_answer():
+            self.drop(request)
+        return response
+
+    async def before(self, request: web.Request) -> web.Response | None:
+        """Hold a request back or refuse it; None lets it go on."""
+        if self.faults.slow_seconds > 0:
+            await asyncio.sleep(self.faults.slow_seconds)
+        if self.faults.stopped:
+            self.usage.refused += 1
+            if self.faults.mode is StopMode.REFUSE:
+                return web.json_response({"error": "unavailable"}, status=503)
+            await self.faults.gate.wait()
+        now = asyncio.get_running_loop().time()
+        rate = (
+            self.usage.reads if request.method == "GET" else self.usage.writes
+        )
+        rate.add(now)
+        return None
+
+    def drop(self, request: web.Request) -> None:
+        """Cut a client's connection before its answer."""
+        if request.transport is not None:
+            request.transport.abort()
+
+    async def get_row(self, request: web.Request) -> web.Response:
+        """Answer `GET /tables/T/K`."""
+        row = self.tables.get(
+            request.match_info["table"], request.match_info["key"]
+        )
+        if row is None:
+            return web.json_response({"error": "no such row"}, status=404)
+        return web.json_response({"value": row.value, "version": row.version})
+
+    async def scan(self, request: web.Request) -> web.Response:
+        """Answer `GET /tables/T`."""
+        try:
+            limit = int(request.query.get("limit", DEFAULT_SCAN_LIMIT))
+        except ValueError:
+            return bad_request("limit is not an integer")
+        if limit < 1:
+            return bad_request("limit is not positive")
+        after = request.query.get("after", "")
+        rows, more = self.tables.scan(request.match_info["table"], after, limit)
+        return web.json_response(
+            {"rows": [attrs.asdict(row) for row in rows], "more": more}
+        )
+
+    async def transact(self, request: web.Request) -> web.Response:
+        """Answer `POST /transactions`."""
+        try:
+            transaction = parse_transaction(await request.json())
+        except (ValueError, UnicodeDecodeError) as error:
+            return bad_request(str(error))
+        match self.tables.transact(transaction):
+            case Committed(versions):
+                self.usage.rows_written += len(transaction.puts)
+                self.usage.rows_written += len(transaction.deletes)
+                named = {str(row): version for row, version in versions.items()}
+                return web.json_response({"versions": named})
+            case Conflicted(conflicts):
+                return web.json_response(
+                    {
+                        "conflicts": [
+                            {
+                                "table": conflict.row.table,
+                                "key": conflict.row.key,
+                                "version": conflict.version,
+                                "value": conflict.value,
+                            }
+                            for conflict in conflicts
+                        ]
+                    },
+                    status=409,
+                )
+
+    async def get_object(self, request: web.Request) -> web.Response:
+        """Answer `GET /objects/NAME`."""
+        found = self.objects.get(request.match_info["name"])
+        if found is None:
+            return web.json_response({"error": "no such object"}, status=404)
+        return web.Response(
+            body=found.data,
+            headers={"ETag": found.etag},
+            content_type="application/octet-stream",
+        )
+
+    async def put_object(self, request: web.Request) -> web.Response:
+        """Answer `PUT /objects/NAME`."""
+        result = self.objects.put(
+            request.match_info["name"],
+            await request.read(),
+            request.headers.get("If-Match"),
+            request.headers.get("If-None-Match"),
+        )
+        if isinstance(result, Stored):
+            return web.Response(status=204, headers={"ETag": result.etag})
+        headers = {} if result.etag is None else {"ETag": result.etag}
+        return web.json_response(
+            {"error": "precondition failed"}, status=412, headers=headers
+        )
+
+    async def delete_object(self, request: web.Request) -> web.Response:
+        """Answer `DELETE /objects/NAME`."""
+        deleted = self.objects.delete(request.match_info["name"])
+        return web.Response(status=204 if deleted else 404)
+
+    async def list_objects(self, request: web.Request) -> web.Response:
+        """Answer `GET /objects`."""
+        names = self.objects.names(request.query.get("prefix", ""))
+        return web.json_response({"names": names})
+
+    async def list_vms(self, request: web.Request) -> web.Response:
+        """Answer `GET /vms`."""
+        now = asyncio.get_running_loop().time()
+        vms = [attrs.asdict(vm) for vm in self.vms.listed(now)]
+        return web.json_response({"vms": vms})
+
+    async def get_faults(self, request: web.Request) -> web.Response:
+        """Answer `GET /faults`."""
+        return web.json_response(
+            {"active": self.board.active(), "servers": self.board.servers()}
+        )
+
+    async def post_fault(self, request: web.Request) -> web.Response:
+        """Answer `POST /faults`."""
+        try:
+            fault = parse_fault(await request.json())
+        except ValueError as error:
+            return bad_request(str(error))
+        outcome = await self.board.apply(fault)
+        if isinstance(outcome, Accepted):
+            return web.json_response({"active": self.board.active()})
+        return bad_request(outcome.reason)
+
+    async def get_usage(self, request: web.Request) -> web.Response:
+        """Answer `GET /usage`."""
+        return web.json_response(self.usage.as_json())
+
+
+def bad_request(message: str) -> web.Response:
+    """Return the answer to a malformed request."""
+    body: dict[str, Any] = {"error": message}
+    return web.Response(
+        status=400,
+        text=json.dumps(body),
+        content_type="application/json",
+    )
