Add the history checker and the model for benchmarks of writes

The checker reads what callers were told, the openings of terms and the final logs of the servers. The model drives the real GroupAgent on a loop whose time jumps. Tests and benchmarks follow.

--- /dev/null
+++ b/bench/writes_model/model_proxy.py
@@ -0,0 +1,166 @@
+"""A proxy of the model: its leases, its agent and its writes."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+
+from jackdawcrank.groups import GroupAgent
+from jackdawcrank.timer import Subscription, TimerService
+from jackdawcrank_policy.acknowledgement import (
+    AwaitTerm,
+    NeedConfirmation,
+    Quorum,
+    acknowledge,
+)
+from jackdawcrank_policy.lease import LeaseState, LeaseTable
+from jackdawcrank_policy.values import (
+    Done,
+    GroupPhase,
+    GroupSpec,
+    Position,
+)
+from jackdawcrank_standins.history import ModelServer
+from writes_model.model_control import ModelControl
+from writes_model.model_peers import ModelPeers
+from writes_model.model_store import ModelStore
+from writes_model.network import Network
+
+HEAD_INTERVAL_SECONDS = 1.0
+WRITE_TIMEOUT_SECONDS = 1.0
+CONFIRM_TIMEOUT_SECONDS = 0.5
+
+
+class ModelProxy:
+    """The home of a group on one VM."""
+
+    def __init__(
+        self,
+        vm: str,
+        spec: GroupSpec,
+        homes: tuple[str, ...],
+        servers: Mapping[str, ModelServer],
+        store: ModelStore,
+        peers: ModelPeers,
+        network: Network,
+        on_event: Callable[..., object],
+        rng: random.Random,
+    ) -> None:
+        self.vm = vm
+        self.spec = spec
+        self.servers = servers
+        self.store = store
+        self.network = network
+        self.rng = rng
+        self.timer = TimerService()
+        self.leases = LeaseTable(vm)
+        self.applied = 0
+        self.head_subscription: Subscription | None = None
+        self.controls = {
+            name: ModelControl(vm, server, network)
+            for name, server in servers.items()
+        }
+        self.agent = GroupAgent(
+            vm,
+            spec,
+            self.controls,
+            store,
+            peers,
+            self.leases,
+            on_event,
+            self.timer,
+            homes,
+            rng=rng,
+        )
+
+    async def start(self) -> None:
+        """Begin to follow the change log and to watch the group."""
+        await self.timer.start()
+        await self.agent.start()
+        self.head_subscription = self.timer.subscribe(
+            "head",
+            HEAD_INTERVAL_SECONDS,
+            self.follow_head,
+            jitter_fraction=0.1,
+            rng=self.rng,
+        )
+
+    async def close(self) -> None:
+        """Stop."""
+        await self.agent.close()
+        await self.timer.close()
+
+    async def follow_head(self, now: float) -> None:
+        """Apply the newest changes and renew the leases."""
+        sent_at = self.timer.now()
+        version = await self.store.read_version()
+        if version is None:
+            return
+        if version > self.applied:
+            changes = await self.store.read_changes(self.applied, version)
+            if changes is None:
+                return
+            for number, row in changes:
+                self.agent.row_changed(row, number)
+            self.applied = version
+        self.leases.renew(sent_at, version)
+
+    async def write(self, write_id: str) -> int | None:
+        """Write once; return the term that acknowledged it, or None."""
+        row = self.leases.rows.get(self.spec.name)
+        if row is None or row.phase is not GroupPhase.ACTIVE:
+            return None
+        if self.state(row.term) is LeaseState.CLOSED:
+            return None
+        server = self.servers[row.primary]
+        position = await self.network.request(
+            self.vm,
+            server.name,
+            lambda: server.commit(write_id),
+            WRITE_TIMEOUT_SECONDS,
+        )
+        if position is None or position.term != row.term:
+            return None
+        return await self.acknowledge(position, row.primary)
+
+    async def acknowledge(self, position: Position, primary: str) -> int | None:
+        """Return the term once the write may be acknowledged, else None."""
+        replies: dict[str, int | None] = {}
+        replicas = tuple(name for name in self.servers if name != primary)
+        while True:
+            verdict = acknowledge(
+                position,
+                position.term,
+                self.state(position.term),
+                Quorum(len(self.servers)),
+                self.spec.confirm_writes,
+                replicas,
+                replies,
+            )
+            match verdict:
+                case Done():
+                    return position.term
+                case NeedConfirmation(servers, _):
+                    await self.ask(servers, position, replies)
+                case AwaitTerm():
+                    return None
+                case _:
+                    return None
+
+    async def ask(
+        self,
+        servers: tuple[str, ...],
+        position: Position,
+        replies: dict[str, int | None],
+    ) -> None:
+        """Ask servers to confirm a position."""
+        answers = await asyncio.gather(
+            *(
+                self.controls[name].confirm(position, CONFIRM_TIMEOUT_SECONDS)
+                for name in servers
+            )
+        )
+        replies.update(zip(servers, answers, strict=True))
+
+    def state(self, term: int) -> LeaseState:
+        """Return the state of the lease on a term now."""
+        return self.leases.state(self.spec.name, term, self.timer.now())
--- /dev/null
+++ b/bench/writes_model/world.py
@@ -0,0 +1,211 @@
+"""One run of the model: a group, its homes and its callers."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+from jackdawcrank_policy.values import GroupPhase, GroupSpec
+from jackdawcrank_standins.history import (
+    CallerOutcome,
+    CallerRecord,
+    History,
+    ModelServer,
+)
+from jackdawcrank_wire.events import EventKind
+from writes_model.deployment import REGIONS, Deployment
+from writes_model.model_peers import ModelPeers
+from writes_model.model_proxy import ModelProxy
+from writes_model.model_store import STORE, ModelStore, StoredRows
+from writes_model.network import Network
+
+GROUP = "ledger"
+WRITE_INTERVAL_SECONDS = 0.01
+PULL_INTERVAL_SECONDS = 0.01
+STORE_SERVICE_SECONDS = 0.004
+
+
+@attrs.frozen
+class Event:
+    """An event that a VM recorded.
+
+    Attributes:
+      at: When, in seconds.
+      vm: The VM.
+      kind: What happened.
+      detail: Further facts.
+    """
+
+    at: float
+    vm: str
+    kind: EventKind
+    detail: dict[str, object]
+
+
+class World:
+    """Three servers, three homes, the store and a stream of writes.
+
+    Attributes:
+      network: The network, by which faults are caused.
+      servers: The servers by name.
+      proxies: The proxies by VM.
+      rows: What the store holds.
+      history: What callers were told.
+      events: What the VMs recorded.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        spec: GroupSpec | None = None,
+        gives_up: bool = True,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.network = Network(deployment, self.rng)
+        self.spec = spec or GroupSpec(GROUP)
+        self.rows = StoredRows()
+        self.history = History()
+        self.events: list[Event] = []
+        self.proxies: dict[str, ModelProxy] = {}
+        self.closed = False
+        self.writes = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        names = [f"s{region}" for region in range(REGIONS)]
+        self.servers = {name: ModelServer(name) for name in names}
+        homes = [f"vm{region}" for region in range(REGIONS)]
+        self.rng.shuffle(homes)
+        self.homes = tuple(homes)
+        self.network.regions[STORE] = 0
+        self.network.service_seconds[STORE] = self.store_service
+        for region in range(REGIONS):
+            self.network.regions[f"s{region}"] = region
+            self.network.regions[f"vm{region}"] = region
+        for vm in self.homes:
+            self.add_proxy(vm, gives_up)
+
+    def add_proxy(self, vm: str, gives_up: bool) -> None:
+        """Add the proxy of a home."""
+        store = ModelStore(vm, self.rows, self.network, self.rng)
+        peers = ModelPeers(vm, self.proxies, self.network, gives_up)
+
+        def record(kind: EventKind, **detail: object) -> None:
+            at = asyncio.get_running_loop().time()
+            self.events.append(Event(at, vm, kind, detail))
+
+        self.proxies[vm] = ModelProxy(
+            vm,
+            self.spec,
+            self.homes,
+            self.servers,
+            store,
+            peers,
+            self.network,
+            record,
+            self.rng,
+        )
+
+    def store_service(self) -> float:
+        """Return what a call takes in the store, in seconds."""
+        return STORE_SERVICE_SECONDS * (0.5 + self.rng.expovariate(1.0))
+
+    @property
+    def now(self) -> float:
+        """Return the time of the run in seconds."""
+        return asyncio.get_running_loop().time()
+
+    async def start(self) -> None:
+        """Start the proxies and wait until the first term is open."""
+        for proxy in self.proxies.values():
+            await proxy.start()
+        self.spawn(self.replicate())
+        await asyncio.sleep(2.0 + self.rng.random())
+        assert self.is_open()
+
+    async def close(self) -> None:
+        """Stop everything and take the servers' logs."""
+        self.closed = True
+        for proxy in self.proxies.values():
+            await proxy.close()
+        for task in tuple(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.history.terms = list(self.rows.terms)
+        self.history.logs = {
+            name: tuple(server.log) for name, server in self.servers.items()
+        }
+        assert self.rows.row is not None
+        self.history.final_primary = self.rows.row.primary
+
+    def is_open(self) -> bool:
+        """Return whether the group has an open term and a primary."""
+        row = self.rows.row
+        if row is None or row.phase is not GroupPhase.ACTIVE:
+            return False
+        primary = self.servers[row.primary]
+        return primary.term == row.term and primary.primary == row.primary
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run work beside until the run is closed."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def replicate(self) -> None:
+        """Let replicas pull from the primaries that they know."""
+        while not self.closed:
+            await asyncio.sleep(PULL_INTERVAL_SECONDS)
+            for name, server in self.servers.items():
+                source = self.servers.get(server.primary)
+                if source is None or source is server:
+                    continue
+                if not self.runs(name) or not self.runs(source.name):
+                    continue
+                if self.network.reaches(name, source.name):
+                    server.pull(source)
+
+    def runs(self, place: str) -> bool:
+        """Return whether a place's process is running."""
+        network = self.network
+        return (
+            place not in network.down
+            and place not in network.refusing
+            and place not in network.resumed
+        )
+
+    def begin_writes(self) -> None:
+        """Begin a stream of writes through the homes in turn."""
+        self.spawn(self.write_on())
+
+    async def write_on(self) -> None:
+        """Send writes through the homes in turn."""
+        while not self.closed:
+            for vm in self.homes:
+                await asyncio.sleep(WRITE_INTERVAL_SECONDS / len(self.homes))
+                if vm not in self.network.down:
+                    self.writes += 1
+                    self.spawn(self.write_once(vm, f"w{self.writes}"))
+
+    async def write_once(self, vm: str, write_id: str) -> None:
+        """Send one write and record its acknowledgement."""
+        term = await self.proxies[vm].write(write_id)
+        if term is None:
+            return
+        self.history.answers.append(
+            CallerRecord(
+                write_id,
+                CallerOutcome.DONE,
+                self.now,
+                term,
+                self.spec.confirm_writes,
+            )
+        )
+
+    def first_event(self, kind: EventKind, after: float) -> Event | None:
+        """Return the first event of a kind after a time."""
+        for event in self.events:
+            if event.kind is kind and event.at >= after:
+                return event
+        return None
--- /dev/null
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/history/check_history.py
@@ -0,0 +1,94 @@
+"""Checks a history against the rules of terms and writes."""
+
+import collections
+import itertools
+from collections.abc import Iterator
+
+from jackdawcrank_standins.history.history import History
+from jackdawcrank_standins.history.records import CallerOutcome
+from jackdawcrank_standins.history.violation import Rule, Violation
+
+
+def check_history(history: History) -> list[Violation]:
+    """Return every place where a history breaks a rule.
+
+    Args:
+      history: The history of a run that has come to rest.
+    """
+    return [
+        *_old_terms(history),
+        *_applied_twice(history),
+        *_not_run_ran(history),
+        *_lost(history),
+        *_two_primaries(history),
+    ]
+
+
+def _old_terms(history: History) -> Iterator[Violation]:
+    kept = history.final_writes()
+    for answer in history.answers:
+        if answer.outcome is not CallerOutcome.DONE or answer.write_id in kept:
+            continue
+        later = [
+            opened
+            for opened in history.terms
+            if opened.term > answer.term
+            and opened.opened_at <= answer.answered_at
+        ]
+        if later:
+            yield Violation(
+                Rule.OLD_TERM,
+                answer.write_id,
+                f"acknowledged under term {answer.term} at "
+                f"{answer.answered_at:.3f} s, after term {later[0].term} "
+                f"had opened at {later[0].opened_at:.3f} s",
+            )
+
+
+def _applied_twice(history: History) -> Iterator[Violation]:
+    for server, log in history.logs.items():
+        counts = collections.Counter(entry.write_id for entry in log)
+        for write_id, count in counts.items():
+            if count > 1:
+                yield Violation(
+                    Rule.APPLIED_TWICE, write_id, f"{count} times on {server}"
+                )
+
+
+def _not_run_ran(history: History) -> Iterator[Violation]:
+    kept = history.final_writes()
+    refused = (CallerOutcome.NOT_RUN, CallerOutcome.FAILED)
+    for answer in history.answers:
+        if not answer.last or answer.outcome not in refused:
+            continue
+        if answer.write_id in kept:
+            yield Violation(
+                Rule.NOT_RUN_RAN,
+                answer.write_id,
+                f"reported as {answer.outcome} but on the final branch",
+            )
+
+
+def _lost(history: History) -> Iterator[Violation]:
+    kept = history.final_writes()
+    for answer in history.answers:
+        if answer.outcome is not CallerOutcome.DONE:
+            continue
+        if answer.must_survive and answer.write_id not in kept:
+            yield Violation(
+                Rule.LOST,
+                answer.write_id,
+                f"acknowledged under term {answer.term}, not on "
+                f"{history.final_primary}",
+            )
+
+
+def _two_primaries(history: History) -> Iterator[Violation]:
+    for earlier, later in itertools.pairwise(history.terms):
+        if later.term <= earlier.term or later.opened_at < earlier.opened_at:
+            yield Violation(
+                Rule.TWO_PRIMARIES,
+                str(later.term),
+                f"opened on {later.primary} after term {earlier.term} on "
+                f"{earlier.primary}",
+            )
