--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the proxy's command line."""
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/commands/embedded.py
@@ -0,0 +1,38 @@
+"""Runs an embedded system."""
+
+import json
+import pathlib
+
+from jackdawcrank.commands.stop_signal import stop_event
+from jackdawcrank.embedded import EmbeddedOptions, EmbeddedSystem
+
+EXIT_OK = 0
+
+
+async def run_embedded(
+    options: EmbeddedOptions, ready_file: pathlib.Path | None
+) -> int:
+    """Run proxies and stand-ins until a signal.
+
+    Args:
+      options: The size and manner of the system.
+      ready_file: Where to describe the system once it is ready.
+
+    Returns:
+      The exit status.
+    """
+    stop = stop_event()
+    system = EmbeddedSystem(options)
+    await system.start()
+    if ready_file is not None:
+        _write_whole(ready_file, json.dumps(system.describe(), indent=2))
+    await stop.wait()
+    await system.drain()
+    return EXIT_OK
+
+
+def _write_whole(path: pathlib.Path, text: str) -> None:
+    """Write a file so that a reader never sees a part of it."""
+    partial = path.with_name(path.name + ".partial")
+    partial.write_text(text + "\n", encoding="utf-8")
+    partial.replace(path)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/embedded/__init__.py
@@ -0,0 +1,6 @@
+"""Proxies with embedded stand-ins, for trying out and for tests."""
+
+from jackdawcrank.embedded.embedded_options import EmbeddedOptions
+from jackdawcrank.embedded.embedded_system import EmbeddedSystem
+
+__all__ = ["EmbeddedOptions", "EmbeddedSystem"]
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
@@ -1,5 +1,6 @@
 """What a home proxy knows and holds of one database group."""
 
+import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -61,6 +62,7 @@
         user: str,
         password: str,
         on_drop: DropListener,
+        was_writer: bool = False,
     ) -> None:
         self.vm = vm
         self.spec = spec
@@ -76,7 +78,9 @@
         self.table = RoutingTable()
         self.pools: dict[str, ServerPool] = {}
         self.controls: dict[str, MysqlControl] = {}
-        self.ledger = BudgetLedger(self._budget(), clock())
+        # Only a predecessor of the same name can have left connections.
+        started_at = clock() if was_writer else -math.inf
+        self.ledger = BudgetLedger(self._budget(), started_at)
         self.term_changed = Signal()
         self.evidence_changed = Signal()
         self.failover_waiters = 0
@@ -212,6 +216,10 @@
             pool.limit = share
             pool.warm = min(share, self.spec.slots_per_server)
 
+    def has_budget(self) -> bool:
+        """Return whether this VM may hold connections to the group."""
+        return self.ledger.share(self.vm, self.clock()) > 0
+
     def lease_state(self, term: int) -> LeaseState:
         """Return whether this proxy may act for a term at this moment.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
@@ -61,9 +61,18 @@
         user: str,
         password: str,
         on_drop: DropListener,
+        was_writer: bool = False,
     ) -> None:
         self.state = GroupState(
-            vm, spec, leases, clock, rng, user, password, on_drop
+            vm,
+            spec,
+            leases,
+            clock,
+            rng,
+            user,
+            password,
+            on_drop,
+            was_writer,
         )
         self.counters = GroupCounters()
         self.in_flight = 0
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/entry_router.py
@@ -0,0 +1,298 @@
+"""Takes a caller's statement to a home proxy of its group."""
+
+import zlib
+from collections.abc import Callable
+
+import attrs
+
+from jackdawcrank.execution.transactions import lost_transaction
+from jackdawcrank.metrics import Metrics
+from jackdawcrank.metrics import names as metric_names
+from jackdawcrank.peers import PeerLinks, PeerUnreachable
+from jackdawcrank.process.caller_classes import CallerClasses
+from jackdawcrank.process.home_registry import HomeRegistry
+from jackdawcrank.results import result_error
+from jackdawcrank_policy.budget import writer_names
+from jackdawcrank_policy.retry import RetryBudget
+from jackdawcrank_policy.tokens import (
+    ForgedToken,
+    SessionToken,
+    TokenSigner,
+)
+from jackdawcrank_policy.values import (
+    Branch,
+    NotRun,
+    NotRunReason,
+    Unknown,
+)
+from jackdawcrank_wire.messages import (
+    Answer,
+    Execute,
+    ResultError,
+    StatementKind,
+    StatementOutcome,
+    StatementRequest,
+    StatementResult,
+)
+
+ANSWER_MARGIN_SECONDS = 0.5
+MAX_HOMES_TRIED = 4
+NO_HOME_RETRY_MS = 300
+DEFAULT_TIMEOUT_MS = 30_000
+# Refusals that another home may not give.
+PASSING_REASONS = frozenset(
+    {
+        NotRunReason.SHUTTING_DOWN.value,
+        NotRunReason.PEER_UNREACHABLE.value,
+        NotRunReason.STALE_TOKEN.value,
+        NotRunReason.NO_SERVER.value,
+    }
+)
+# Statements that find nothing to do where a transaction is not known.
+ENDINGS = frozenset({StatementKind.ROLLBACK, StatementKind.END_SESSION})
+
+
+class EntryRouter:
+    """Runs statements on this VM or forwards them.
+
+    Attributes:
+      registry: The homes on this VM.
+      links: The streams to other VMs.
+      classes: The callers' classes.
+      signer: Signs session tokens.
+      metrics: Counts.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        registry: HomeRegistry,
+        links: PeerLinks,
+        classes: CallerClasses,
+        signer: TokenSigner,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self.vm = vm
+        self.registry = registry
+        self.links = links
+        self.classes = classes
+        self.signer = signer
+        self.metrics = metrics
+        self.clock = clock
+        self.pinned: dict[str, str] = {}
+        self.retries = RetryBudget()
+
+    async def execute(self, request: StatementRequest) -> StatementResult:
+        """Run a statement on one of its group's home proxies.
+
+        Args:
+          request: The statement with its options.
+        """
+        started = self.clock()
+        if request.transaction_id:
+            result = await self._in_transaction(request)
+        else:
+            result = await self._outside(request)
+        self._measure(request, result, started)
+        return result
+
+    def knows_group(self, group: str) -> bool:
+        """Return whether a group is declared.
+
+        Args:
+          group: The group's name.
+        """
+        return group in self.registry.configuration.groups
+
+    def statement_timeout_ms(self, group: str) -> int:
+        """Return the longest that a statement on a group may run.
+
+        Args:
+          group: The group's name.
+        """
+        spec = self.registry.configuration.groups.get(group)
+        return spec.statement_timeout_ms if spec else DEFAULT_TIMEOUT_MS
+
+    def branch(self, group: str) -> Branch:
+        """Return the branch of a group's log.
+
+        Args:
+          group: The group's name.
+        """
+        row = self.registry.configuration.group_rows.get(group)
+        return row.branch if row else Branch()
+
+    def caller_class(self, user: str) -> str:
+        """Return the name of a caller's class.
+
+        Args:
+          user: The caller's user name.
+        """
+        return self.classes.name_of(user)
+
+    def admit(self, user: str) -> NotRun | None:
+        """Count a statement against a caller's limits, or refuse it.
+
+        Args:
+          user: The caller's user name.
+        """
+        return self.classes.admit(user)
+
+    def finish(self, user: str) -> None:
+        """Count the end of a statement that was admitted.
+
+        Args:
+          user: The caller's user name.
+        """
+        self.classes.finish(user)
+
+    def sign(self, token: SessionToken) -> str:
+        """Return a session token as signed text.
+
+        Args:
+          token: The token.
+        """
+        return self.signer.sign(token)
+
+    def verify(self, text: str) -> SessionToken | ForgedToken:
+        """Return the session token in a signed text.
+
+        Args:
+          text: What a caller gave.
+        """
+        return self.signer.verify(text)
+
+    async def serve_peer(self, request: StatementRequest) -> StatementResult:
+        """Run a statement that another entry proxy forwarded.
+
+        Args:
+          request: The statement with its options.
+        """
+        home = self.registry.homes.get(request.group)
+        if home is None or (home.retiring and not request.transaction_id):
+            return _no_home("this proxy is no home of the group")
+        return await home.group.execute(request)
+
+    async def _outside(self, request: StatementRequest) -> StatementResult:
+        """Run a statement that no transaction ties to a home."""
+        deadline = self.clock() + request.deadline_ms / 1000
+        self.retries.attempt()
+        result: StatementResult = _no_home("no home proxy is known")
+        for number, home in enumerate(self._homes(request)):
+            if number and not self.retries.take():
+                break
+            remaining_ms = int((deadline - self.clock()) * 1000)
+            if remaining_ms <= 0:
+                break
+            result = await self._at(
+                home, attrs.evolve(request, deadline_ms=remaining_ms)
+            )
+            if not _may_try_another(result, request):
+                return result
+        return result
+
+    async def _in_transaction(
+        self, request: StatementRequest
+    ) -> StatementResult:
+        home = self.pinned.get(request.transaction_id)
+        if home is None and request.kind in ENDINGS:
+            return lost_transaction("it is not open")
+        if home is None:
+            homes = self._homes(request)
+            if not homes:
+                return _no_home("no home proxy is known")
+            home = homes[0]
+        self.pinned[request.transaction_id] = home
+        result = await self._at(home, request)
+        if not result_keeps_transaction(result):
+            self.pinned.pop(request.transaction_id, None)
+        return result
+
+    def _homes(self, request: StatementRequest) -> list[str]:
+        """Return the group's home proxies in the order to try them."""
+        row = self.registry.configuration.group_rows.get(request.group)
+        writers = list(writer_names(row.writers)) if row else []
+        if not writers:
+            return []
+        start = zlib.crc32(request.session_id.encode()) % len(writers)
+        order = writers[start:] + writers[:start]
+        if self.vm in order and self.registry.active(request.group):
+            order.remove(self.vm)
+            order.insert(0, self.vm)
+        return order[:MAX_HOMES_TRIED]
+
+    async def _at(
+        self, home: str, request: StatementRequest
+    ) -> StatementResult:
+        if home == self.vm:
+            return await self.serve_peer(request)
+        self.metrics.count(metric_names.FORWARDED)
+        timeout = request.deadline_ms / 1000 + ANSWER_MARGIN_SECONDS
+        answer = await self.links.request(home, Execute(0, request), timeout)
+        if isinstance(answer, Answer):
+            return answer.result
+        if isinstance(answer, PeerUnreachable):
+            return _unreachable(answer, request)
+        return result_error(Unknown("the home proxy gave no usable answer"))
+
+    def _measure(
+        self,
+        request: StatementRequest,
+        result: StatementResult,
+        started: float,
+    ) -> None:
+        group = request.group
+        self.metrics.count(metric_names.STATEMENTS, group=group)
+        elapsed = self.clock() - started
+        self.metrics.timing(metric_names.STATEMENT_TIME, elapsed, group)
+        if isinstance(result, ResultError):
+            spec = {
+                StatementOutcome.NOT_RUN: metric_names.REFUSED,
+                StatementOutcome.FAILED: metric_names.FAILED,
+                StatementOutcome.UNKNOWN: metric_names.UNKNOWN,
+            }[result.outcome]
+            self.metrics.count(spec, group=group)
+
+
+def result_keeps_transaction(result: StatementResult) -> bool:
+    """Return whether a transaction goes on after a result.
+
+    Args:
+      result: The result of one of its statements.
+    """
+    return bool(result.in_transaction)
+
+
+def _may_try_another(
+    result: StatementResult, request: StatementRequest
+) -> bool:
+    if not isinstance(result, ResultError):
+        return False
+    if result.outcome is StatementOutcome.NOT_RUN:
+        return result.reason in PASSING_REASONS
+    is_read = request.kind is StatementKind.READ
+    in_doubt = result.outcome is StatementOutcome.UNKNOWN
+    # A request id makes a second try find the first one's result.
+    is_idempotent = is_read or bool(request.request_id)
+    return in_doubt and is_idempotent and request.repeatable
+
+
+def _unreachable(
+    answer: PeerUnreachable, request: StatementRequest
+) -> ResultError:
+    if request.transaction_id:
+        if request.kind is StatementKind.COMMIT and answer.sent:
+            return result_error(Unknown(answer.detail))
+        return lost_transaction(answer.detail)
+    if answer.sent:
+        return result_error(Unknown(answer.detail))
+    return result_error(
+        NotRun(NotRunReason.PEER_UNREACHABLE, answer.detail, NO_HOME_RETRY_MS)
+    )
+
+
+def _no_home(detail: str) -> ResultError:
+    return result_error(
+        NotRun(NotRunReason.PEER_UNREACHABLE, detail, NO_HOME_RETRY_MS)
+    )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/group_peers.py
@@ -0,0 +1,111 @@
+"""Asks other VMs on behalf of coordination."""
+
+from jackdawcrank.peers import PeerLinks
+from jackdawcrank_policy.detection import PrimaryEvidence, PrimaryHealth
+from jackdawcrank_policy.values import GroupRow
+from jackdawcrank_wire.messages import (
+    AskEvidence,
+    ConfigVersion,
+    EvidenceAnswer,
+    GiveUpLease,
+    LeaseGivenUp,
+)
+
+
+class StreamGroupPeers:
+    """Carries coordination's questions over the streams between proxies.
+
+    Attributes:
+      links: The streams.
+    """
+
+    def __init__(self, links: PeerLinks) -> None:
+        self.links = links
+
+    async def give_up_lease(
+        self, vm: str, group: str, term: int, timeout_seconds: float
+    ) -> bool:
+        """Have a VM give up its leases below a term; False if it did not.
+
+        Args:
+          vm: The VM.
+          group: The group's name.
+          term: The claimed term.
+          timeout_seconds: The longest that this may take.
+        """
+        request = GiveUpLease(0, group, term)
+        answer = await self.links.request(vm, request, timeout_seconds)
+        if not isinstance(answer, LeaseGivenUp):
+            return False
+        return answer.group == group and answer.term == term
+
+    async def ask_suspicion(
+        self, vm: str, group: str, timeout_seconds: float
+    ) -> PrimaryEvidence | None:
+        """Return what a VM has seen of the group's primary.
+
+        Args:
+          vm: The VM.
+          group: The group's name.
+          timeout_seconds: The longest that this may take.
+        """
+        request = AskEvidence(0, group)
+        answer = await self.links.request(vm, request, timeout_seconds)
+        if not isinstance(answer, EvidenceAnswer):
+            return None
+        return evidence_from(vm, answer)
+
+    async def announce_row(
+        self, vm: str, row: GroupRow, version: int, timeout_seconds: float
+    ) -> bool:
+        """Tell a VM of a newer version, so that it reads it at once.
+
+        Args:
+          vm: The VM.
+          row: The row that was written.
+          version: The change log's version that wrote it.
+          timeout_seconds: The longest that this may take.
+        """
+        return await self.links.notify(
+            vm, ConfigVersion(version), timeout_seconds
+        )
+
+
+def evidence_from(vm: str, answer: EvidenceAnswer) -> PrimaryEvidence | None:
+    """Return the evidence in a peer's answer; None if it has none.
+
+    Args:
+      vm: The peer.
+      answer: Its answer.
+    """
+    try:
+        health = PrimaryHealth(answer.health)
+    except ValueError:
+        return None
+    return PrimaryEvidence(
+        vm=vm,
+        group=answer.group,
+        term=answer.term,
+        primary=answer.primary,
+        health=health,
+        silent_seconds=answer.last_ok_age_seconds or 0.0,
+        coordinating=answer.coordinating,
+    )
+
+
+def answer_from(evidence: PrimaryEvidence) -> EvidenceAnswer:
+    """Return evidence as an answer to a peer.
+
+    Args:
+      evidence: What this VM has seen.
+    """
+    return EvidenceAnswer(
+        0,
+        evidence.group,
+        evidence.primary,
+        evidence.term,
+        evidence.silent_seconds,
+        evidence.is_suspicious,
+        evidence.health.value,
+        evidence.coordinating,
+    )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
@@ -0,0 +1,318 @@
+"""The groups that this VM is a home of."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from jackdawcrank.execution.home_group import HomeGroup
+from jackdawcrank.groups import GroupAgent, GroupPeers, GroupStore
+from jackdawcrank.process.home import Home
+from jackdawcrank.timeline import Timeline
+from jackdawcrank.timer import Timer
+from jackdawcrank_policy.budget import writer_names
+from jackdawcrank_policy.configuration import Change, Configuration, Kind
+from jackdawcrank_policy.homes import home_vms
+from jackdawcrank_policy.lease import LeaseTable
+from jackdawcrank_policy.membership import MembershipView
+from jackdawcrank_policy.values import (
+    GroupRow,
+    GroupSpec,
+    ServerSpec,
+    ServerState,
+)
+from jackdawcrank_wire.events import EventKind
+
+RETIRE_CHECK_SECONDS = 0.1
+MAX_RETIRE_SECONDS = 60.0
+
+
+class HomeRegistry:
+    """Opens and closes homes as configuration and membership change.
+
+    Attributes:
+      vm: This VM's name.
+      homes: The homes by group, retiring ones included.
+      configuration: The configuration in force.
+      view: The membership as this VM sees it.
+      leases: The term leases of this VM.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        homes_per_group: int,
+        user: str,
+        password: str,
+        store: GroupStore,
+        peers: GroupPeers,
+        timer: Timer,
+        timeline: Timeline,
+        rng: random.Random,
+        on_row: Callable[[GroupRow, int], None],
+    ) -> None:
+        self.vm = vm
+        self.homes_per_group = homes_per_group
+        self.user = user
+        self.password = password
+        self.store = store
+        self.peers = peers
+        self.timer = timer
+        self.timeline = timeline
+        self.rng = rng
+        self.on_row = on_row
+        self.homes: dict[str, Home] = {}
+        self.configuration = Configuration()
+        self.view = MembershipView()
+        self.leases = LeaseTable(vm)
+        self.first_rows: dict[str, GroupRow] | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        """Close every home."""
+        for task in tuple(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for home in self.homes.values():
+            await home.agent.close()
+            await home.group.close()
+        self.homes.clear()
+
+    def active(self, group: str) -> Home | None:
+        """Return the home of a group, if it may take new statements.
+
+        Args:
+          group: The group's name.
+        """
+        home = self.homes.get(group)
+        if home is None or home.retiring:
+            return None
+        return home if home.group.state.has_budget() else None
+
+    def configuration_changed(
+        self, configuration: Configuration, changes: tuple[Change, ...]
+    ) -> None:
+        """Follow changes of the configuration.
+
+        Args:
+          configuration: The configuration in force.
+          changes: What changed; empty if everything may have.
+        """
+        if self.first_rows is None:
+            self.first_rows = dict(configuration.group_rows)
+        earlier = self.configuration
+        self.configuration = configuration
+        for group in self._affected(earlier, configuration, changes):
+            self._reconcile(group)
+
+    def view_changed(self, view: MembershipView) -> None:
+        """Follow a change of the membership.
+
+        Args:
+          view: The membership as this VM sees it.
+        """
+        self.view = view
+        for group in self.configuration.groups:
+            self._reconcile(group)
+
+    def head_read(self, sent_at: float, version: int) -> None:
+        """Renew the term leases.
+
+        Args:
+          sent_at: The time before the read was sent, in seconds.
+          version: The version that it returned.
+        """
+        self.leases.renew(sent_at, version)
+        for home in self.homes.values():
+            home.group.state.hold_term()
+
+    def peer_lost(self, vm: str) -> None:
+        """Close the transactions of a lost entry proxy's sessions.
+
+        Args:
+          vm: The VM.
+        """
+        for home in self.homes.values():
+            home.group.transactions.end_sessions_of(f"{vm}:")
+
+    async def tick(self, now: float) -> None:
+        """Do what time asks for.
+
+        Args:
+          now: The time on the monotonic clock.
+        """
+        for name, home in self.homes.items():
+            for transaction_id in home.group.tick(now):
+                self.timeline.record(
+                    EventKind.TRANSACTION_ROLLED_BACK,
+                    group=name,
+                    transaction=transaction_id,
+                    reason="open for too long",
+                )
+
+    def _affected(
+        self,
+        earlier: Configuration,
+        configuration: Configuration,
+        changes: tuple[Change, ...],
+    ) -> Iterable[str]:
+        if not changes:
+            return {*earlier.groups, *configuration.groups, *self.homes}
+        affected: set[str] = set()
+        for change in changes:
+            affected |= _groups_of(change, earlier, configuration)
+        return affected
+
+    def _reconcile(self, name: str) -> None:
+        spec = self.configuration.groups.get(name)
+        home = self.homes.get(name)
+        if spec is None:
+            if home is not None:
+                self._retire(name, home)
+            return
+        chosen = self._chosen_homes(name)
+        row = self.configuration.group_rows.get(name)
+        writers = writer_names(row.writers) if row else ()
+        if self.vm not in chosen and self.vm not in writers:
+            if home is not None:
+                self._retire(name, home)
+            return
+        if home is None:
+            home = self._open(spec, chosen)
+        self._update(home, spec, chosen, row)
+
+    def _was_writer(self, group: str) -> bool:
+        """Return whether a predecessor of this process was a writer."""
+        row = (self.first_rows or {}).get(group)
+        return row is not None and self.vm in row.writers
+
+    def _chosen_homes(self, group: str) -> tuple[str, ...]:
+        centers = {n: vm.data_center for n, vm in self.view.vms.items()}
+        return home_vms(group, self.view.live, self.homes_per_group, centers)
+
+    def _open(self, spec: GroupSpec, chosen: tuple[str, ...]) -> Home:
+        servers = self.configuration.servers_of(spec.name)
+        group = HomeGroup(
+            self.vm,
+            spec,
+            self.leases,
+            self.timer.now,
+            self.rng,
+            self.user,
+            self.password,
+            self._connection_dropped,
+            self._was_writer(spec.name),
+        )
+        group.start(servers)
+        agent = GroupAgent(
+            self.vm,
+            spec,
+            group.state.controls,
+            self.store,
+            self.peers,
+            self.leases,
+            self.timeline.record,
+            self.timer,
+            chosen,
+            on_row=self._row_written,
+            on_report=group.observe,
+            rng=self.rng,
+        )
+        home = Home(group, agent)
+        self.homes[spec.name] = home
+        self._spawn(agent.start())
+        return home
+
+    def _update(
+        self,
+        home: Home,
+        spec: GroupSpec,
+        chosen: tuple[str, ...],
+        row: GroupRow | None,
+    ) -> None:
+        home.retiring = False
+        servers = self.configuration.servers_of(spec.name)
+        home.group.classes = self.configuration.caller_classes
+        home.group.set_spec(spec)
+        home.group.set_servers(servers)
+        self._update_agent_servers(home, servers)
+        avoid = frozenset(
+            server.name
+            for server in servers
+            if server.state is not ServerState.SERVING
+        )
+        home.agent.spec_changed(spec, avoid)
+        home.agent.homes_changed(chosen, frozenset(self.view.live))
+        if row is not None:
+            entry = self.configuration.entries[(Kind.GROUP_ROW, spec.name)]
+            self._take_row(home, row, entry.version)
+
+    def _update_agent_servers(
+        self, home: Home, servers: tuple[ServerSpec, ...]
+    ) -> None:
+        declared = {server.name for server in servers}
+        controls = home.group.state.controls
+        for name in tuple(home.agent.context.servers):
+            if name not in declared:
+                self._spawn(home.agent.server_left(name))
+        for name in declared:
+            known = home.agent.context.servers.get(name)
+            if known is not controls[name]:
+                home.agent.server_joined(controls[name])
+
+    def _take_row(self, home: Home, row: GroupRow, version: int) -> None:
+        held = self.leases.holds(row.group, row.term, self.timer.now())
+        home.agent.row_changed(row, version)
+        home.group.set_row(row, version)
+        holds = self.leases.holds(row.group, row.term, self.timer.now())
+        if holds and not held:
+            self.timeline.record(
+                EventKind.LEASE_GAINED, group=row.group, term=row.term
+            )
+
+    def _row_written(self, row: GroupRow, version: int) -> None:
+        home = self.homes.get(row.group)
+        if home is not None:
+            home.group.set_row(row, version)
+        self.on_row(row, version)
+
+    def _retire(self, name: str, home: Home) -> None:
+        if not home.retiring:
+            home.retiring = True
+            self._spawn(self._close_when_idle(name, home))
+
+    async def _close_when_idle(self, name: str, home: Home) -> None:
+        until = self.timer.now() + MAX_RETIRE_SECONDS
+        while not home.idle and self.timer.now() < until:
+            await asyncio.sleep(RETIRE_CHECK_SECONDS)
+            if not home.retiring:
+                return
+        if self.homes.get(name) is home:
+            del self.homes[name]
+            self.leases.forget(name)
+        await home.agent.close()
+        await home.group.close()
+
+    def _connection_dropped(self, server: str, why: str) -> None:
+        self.timeline.record(
+            EventKind.CONNECTION_DROPPED, server=server, reason=why
+        )
+
+    def _spawn(self, work: "asyncio.Future[None] | object") -> None:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)  # type: ignore[arg-type]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+
+def _groups_of(
+    change: Change, earlier: Configuration, configuration: Configuration
+) -> set[str]:
+    """Return the groups that a change concerns."""
+    if change.kind in (Kind.DATABASE_GROUP, Kind.GROUP_ROW):
+        return {change.name}
+    if change.kind == Kind.CALLER_CLASS:
+        return set(configuration.groups)
+    servers = (
+        earlier.servers.get(change.name),
+        configuration.servers.get(change.name),
+    )
+    return {server.group for server in servers if server is not None}
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/peer_service.py
@@ -0,0 +1,138 @@
+"""Answers what other proxies send."""
+
+from jackdawcrank.config import (
+    ConfigurationFollower,
+    Learned,
+    learned_from,
+    peer_records,
+)
+from jackdawcrank.membership import MembershipTracker
+from jackdawcrank.peers import PeerHandlers, PeerLinks
+from jackdawcrank.process.entry_router import EntryRouter
+from jackdawcrank.process.group_peers import answer_from
+from jackdawcrank.process.home_registry import HomeRegistry
+from jackdawcrank_wire.messages import (
+    Answer,
+    AskEvidence,
+    ChangesAnswer,
+    ChangesRequest,
+    ConfigVersion,
+    EvidenceAnswer,
+    Execute,
+    GiveUpLease,
+    Hello,
+    LeaseGivenUp,
+    Leaving,
+)
+
+LEARN_SECONDS = 1.0
+PEERS_ASKED = 3
+
+
+class PeerService:
+    """Handles the messages of other proxies.
+
+    Attributes:
+      registry: The homes on this VM.
+      router: Runs forwarded statements.
+      follower: The configuration in force.
+      tracker: The membership.
+      links: The streams to other VMs.
+    """
+
+    def __init__(
+        self,
+        registry: HomeRegistry,
+        router: EntryRouter,
+        follower: ConfigurationFollower,
+        tracker: MembershipTracker,
+        links: PeerLinks,
+    ) -> None:
+        self.registry = registry
+        self.router = router
+        self.follower = follower
+        self.tracker = tracker
+        self.links = links
+
+    def register(self, handlers: PeerHandlers) -> None:
+        """Set the handlers.
+
+        Args:
+          handlers: The handlers of the streams.
+        """
+        handlers.register(Execute, self.execute)
+        handlers.register(GiveUpLease, self.give_up_lease)
+        handlers.register(AskEvidence, self.ask_evidence)
+        handlers.register(ChangesRequest, self.changes_request)
+        handlers.register(ConfigVersion, self.config_version)
+        handlers.register(Hello, self.hello)
+        handlers.register(Leaving, self.leaving)
+
+    async def execute(self, vm: str, message: Execute) -> Answer:
+        """Run a forwarded statement."""
+        self.tracker.heard(vm)
+        return Answer(0, await self.router.serve_peer(message.statement))
+
+    async def give_up_lease(
+        self, vm: str, message: GiveUpLease
+    ) -> LeaseGivenUp | None:
+        """Give up a term lease for a promotion."""
+        self.tracker.heard(vm)
+        home = self.registry.homes.get(message.group)
+        if home is not None:
+            home.agent.give_up_requested(message.term)
+            home.group.state.give_up_lease(message.term - 1)
+        else:
+            self.registry.leases.give_up(message.group, message.term - 1)
+        return LeaseGivenUp(0, message.group, message.term)
+
+    async def ask_evidence(
+        self, vm: str, message: AskEvidence
+    ) -> EvidenceAnswer:
+        """Tell what this VM has seen of a group's primary."""
+        self.tracker.heard(vm)
+        home = self.registry.homes.get(message.group)
+        if home is None:
+            return EvidenceAnswer(0, message.group)
+        return answer_from(await home.agent.suspicion_asked())
+
+    async def changes_request(
+        self, vm: str, message: ChangesRequest
+    ) -> ChangesAnswer:
+        """Pass on configuration changes that the peer lacks."""
+        self.tracker.heard(vm)
+        first, records = peer_records(
+            self.follower.state, message.after, message.limit
+        )
+        return ChangesAnswer(0, first, records, self.follower.version)
+
+    async def config_version(self, vm: str, message: ConfigVersion) -> None:
+        """Read the change log at once if a peer is ahead."""
+        self.tracker.heard(vm)
+        await self.follower.peer_is_at(message.version)
+
+    async def hello(self, vm: str, message: Hello) -> None:
+        """Take in a peer's start of a stream."""
+        self.tracker.heard(vm)
+        await self.follower.peer_is_at(message.config_version)
+
+    async def leaving(self, vm: str, message: Leaving) -> None:
+        """Take in that a peer is shutting down."""
+        self.tracker.announced_leaving(message.vm)
+
+    async def learn_from_peers(self, version: int) -> list[Learned]:
+        """Ask some peers for the changes above a version.
+
+        Args:
+          version: The version in force here.
+        """
+        connected = self.links.connected() or sorted(self.links.addresses)
+        learned: list[Learned] = []
+        for vm in connected[:PEERS_ASKED]:
+            answer = await self.links.request(
+                vm, ChangesRequest(0, version), LEARN_SECONDS
+            )
+            if isinstance(answer, ChangesAnswer):
+                found = [learned_from(record) for record in answer.changes]
+                learned.extend(item for item in found if item is not None)
+        return learned
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
@@ -0,0 +1,319 @@
+"""One proxy process."""
+
+import asyncio
+import hashlib
+import random
+import secrets
+import time
+
+from absl import logging
+
+from jackdawcrank.config import ChangeLogCollector, ConfigurationFollower
+from jackdawcrank.front.front_server import FrontServer
+from jackdawcrank.membership import MembershipTracker
+from jackdawcrank.metrics import Metrics
+from jackdawcrank.metrics import names as metric_names
+from jackdawcrank.operators.api import OperatorApi
+from jackdawcrank.peers import PeerHandlers, PeerLinks, PeerServer
+from jackdawcrank.process.caller_classes import CallerClasses
+from jackdawcrank.process.entry_router import EntryRouter
+from jackdawcrank.process.group_peers import StreamGroupPeers
+from jackdawcrank.process.home_registry import HomeRegistry
+from jackdawcrank.process.operator_service import OperatorService
+from jackdawcrank.process.peer_service import PeerService
+from jackdawcrank.store import ChangeLog, StoreClient
+from jackdawcrank.store.group_rows import GroupRows
+from jackdawcrank.timeline import Timeline
+from jackdawcrank.timer import TimerService
+from jackdawcrank_policy.configuration import Change, Configuration
+from jackdawcrank_policy.membership import MembershipView
+from jackdawcrank_policy.tokens import TokenSigner
+from jackdawcrank_policy.values import GroupRow, Vm
+from jackdawcrank_wire.events import EventKind
+from jackdawcrank_wire.messages import ConfigVersion, Leaving
+from jackdawcrank_wire.settings import Settings
+
+TICK_SECONDS = 0.25
+METRICS_SECONDS = 10.0
+HAND_OVER_SECONDS = 10.0
+HAND_OVER_CHECK_SECONDS = 0.1
+BOOT_ID_BYTES = 4
+
+
+class Proxy:
+    """Everything that runs on one entry VM.
+
+    Attributes:
+      settings: The settings.
+      boot: The id of this process.
+      timeline: The events of this process.
+      registry: The homes on this VM.
+      front: Listens for callers.
+      peer_server: Listens for other proxies.
+      api: Listens for operators.
+      stopped: Set once the process has shut down.
+    """
+
+    def __init__(
+        self, settings: Settings, rng: random.Random | None = None
+    ) -> None:
+        self.settings = settings
+        self.boot = secrets.token_hex(BOOT_ID_BYTES)
+        self.rng = rng or random.Random()
+        self.timer = TimerService(time.monotonic)
+        self.timeline = Timeline(
+            settings.vm,
+            self.boot,
+            settings.timeline_events,
+            clock=time.monotonic,
+        )
+        self.metrics = Metrics(
+            settings.statsd_host or None, settings.statsd_port
+        )
+        self.store = StoreClient(settings.platform_url, rng=self.rng)
+        self.change_log = ChangeLog(self.store)
+        self.handlers = PeerHandlers()
+        self.links = PeerLinks(
+            settings.vm,
+            self.boot,
+            settings.peer_secret.encode(),
+            self.handlers,
+            rng=self.rng,
+        )
+        self.registry = self._make_registry()
+        self.classes = CallerClasses(time.monotonic)
+        self.router = self._make_router()
+        self.follower = self._make_follower()
+        self.collector = ChangeLogCollector(
+            self.store, self.follower.state, self.timer, self.rng
+        )
+        self.front = self._make_front()
+        self.peer_server = PeerServer(
+            settings.host,
+            settings.peer_port,
+            settings.peer_secret.encode(),
+            settings.vm,
+            self.boot,
+            self.handlers,
+            self.links,
+        )
+        self.api = self._make_api()
+        self.tracker: MembershipTracker | None = None
+        self.ready = False
+        self.draining: asyncio.Task[None] | None = None
+        self.stopped = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start every part; callers are served once this returns."""
+        self.timeline.record(EventKind.VM_STARTED)
+        await self.metrics.start()
+        await self.store.start()
+        await self.timer.start()
+        await self.peer_server.start()
+        await self.api.start()
+        await self.links.start(self.timer)
+        self.tracker = self._make_tracker()
+        self._make_peer_service(self.tracker)
+        self.links.lost_callbacks.append(self._peer_lost)
+        await self.follower.start()
+        await self.collector.start()
+        await self.tracker.start()
+        await self.front.start()
+        self.timer.subscribe("homes", TICK_SECONDS, self.registry.tick)
+        self.timer.subscribe("metrics", METRICS_SECONDS, self._flush_metrics)
+        self.ready = True
+        self.timeline.record(EventKind.VM_READY)
+
+    async def drain(self, actor: str = "") -> None:
+        """Begin the graceful shutdown; `stopped` is set at its end.
+
+        Args:
+          actor: Who asked for it.
+        """
+        if self.draining is None:
+            self.timeline.record(EventKind.VM_LEAVING, actor=actor)
+            self.draining = asyncio.create_task(self._drain())
+
+    async def close(self) -> None:
+        """Stop at once."""
+        if self.draining is not None and not self.draining.done():
+            self.draining.cancel()
+            await asyncio.gather(self.draining, return_exceptions=True)
+        await self._close_parts()
+
+    async def _drain(self) -> None:
+        self.ready = False
+        if self.tracker is not None:
+            await self.tracker.leave()
+        self.links.broadcast(Leaving(self.settings.vm))
+        limit = self.settings.shutdown_timeout_seconds
+        cut = await self.front.drain(limit)
+        self.timeline.record(EventKind.CALLERS_CLOSED, cut=cut)
+        await self._hand_over_homes()
+        await self._close_parts()
+
+    async def _hand_over_homes(self) -> None:
+        until = time.monotonic() + HAND_OVER_SECONDS
+        while time.monotonic() < until:
+            homes = self.registry.homes.values()
+            if all(home.retiring and home.idle for home in homes):
+                return
+            await asyncio.sleep(HAND_OVER_CHECK_SECONDS)
+
+    async def _close_parts(self) -> None:
+        if self.stopped.is_set():
+            return
+        self.ready = False
+        await self.front.close()
+        await self.follower.close()
+        await self.collector.close()
+        await self.links.close()
+        await self.peer_server.close()
+        await self.registry.close()
+        if self.tracker is not None:
+            await self.tracker.close()
+        await self.timer.close()
+        self.timeline.record(EventKind.VM_STOPPED)
+        await self.api.close()
+        self.timeline.close()
+        await self.store.close()
+        await self.metrics.close()
+        self.stopped.set()
+
+    def _make_registry(self) -> HomeRegistry:
+        settings = self.settings
+        return HomeRegistry(
+            settings.vm,
+            settings.homes_per_group,
+            settings.backend_user,
+            settings.backend_password,
+            GroupRows(self.store, self.change_log, settings.vm),
+            StreamGroupPeers(self.links),
+            self.timer,
+            self.timeline,
+            self.rng,
+            self._row_written,
+        )
+
+    def _make_router(self) -> EntryRouter:
+        keys = tuple(_derived_key(key) for key in self.settings.token_keys)
+        return EntryRouter(
+            self.settings.vm,
+            self.registry,
+            self.links,
+            self.classes,
+            TokenSigner(keys),
+            self.metrics,
+            time.monotonic,
+        )
+
+    def _make_follower(self) -> ConfigurationFollower:
+        return ConfigurationFollower(
+            self.store,
+            self.timer,
+            on_change=self._configuration_changed,
+            on_head_read=self.registry.head_read,
+            interval_seconds=self.settings.head_read_seconds,
+            rng=self.rng,
+        )
+
+    def _make_front(self) -> FrontServer:
+        settings = self.settings
+        return FrontServer(
+            settings.host,
+            settings.caller_port,
+            settings.callers,
+            self.router,
+            f"{settings.vm}:{self.boot}",
+            settings.max_statement_bytes,
+            settings.max_caller_connections,
+            settings.login_timeout_seconds,
+        )
+
+    def _make_api(self) -> OperatorApi:
+        service = OperatorService(
+            self.settings.vm,
+            self.store,
+            self.change_log,
+            self.follower,
+            self.timeline,
+            self.registry,
+            self.router,
+            lambda: self.ready,
+            self.drain,
+        )
+        return OperatorApi(
+            self.settings.host,
+            self.settings.operator_port,
+            self.settings.operator_tokens,
+            service,
+        )
+
+    def _make_tracker(self) -> MembershipTracker:
+        settings = self.settings
+        own = Vm(
+            settings.vm,
+            settings.host,
+            self.peer_server.port,
+            self.api.port,
+            settings.region,
+            settings.data_center,
+        )
+        return MembershipTracker(
+            self.store,
+            self.timer,
+            own,
+            self.boot,
+            self._view_changed,
+            self.rng,
+        )
+
+    def _make_peer_service(self, tracker: MembershipTracker) -> None:
+        service = PeerService(
+            self.registry, self.router, self.follower, tracker, self.links
+        )
+        service.register(self.handlers)
+        self.follower.learn_from_peers = service.learn_from_peers
+
+    def _configuration_changed(
+        self, configuration: Configuration, changes: tuple[Change, ...]
+    ) -> None:
+        self.classes.set_specs(configuration.caller_classes)
+        self.registry.configuration_changed(configuration, changes)
+        self.links.config_version = configuration.version
+        self.links.broadcast(ConfigVersion(configuration.version))
+        self.timeline.record(
+            EventKind.CONFIG_APPLIED, version=configuration.version
+        )
+
+    def _view_changed(self, view: MembershipView) -> None:
+        self.links.set_addresses(
+            {
+                name: (vm.host, vm.peer_port)
+                for name, vm in view.vms.items()
+                if name != self.settings.vm
+            }
+        )
+        self.registry.view_changed(view)
+        logging.info("members live=%s leaving=%s", view.live, view.leaving)
+
+    def _row_written(self, row: GroupRow, version: int) -> None:
+        """Apply a row that this VM wrote without waiting for the timer."""
+        task = asyncio.ensure_future(self.follower.peer_is_at(version))
+        self.registry.tasks.add(task)
+        task.add_done_callback(self.registry.tasks.discard)
+
+    def _peer_lost(self, vm: str, detail: str) -> None:
+        self.timeline.record(EventKind.PEER_LOST, peer=vm, reason=detail)
+        self.registry.peer_lost(vm)
+        if self.tracker is not None:
+            self.tracker.stream_failed(vm)
+
+    async def _flush_metrics(self, now: float) -> None:
+        connections = len(self.front.connections)
+        self.metrics.gauge(metric_names.CALLER_CONNECTIONS, connections)
+        await self.metrics.flush(now)
+
+
+def _derived_key(key: str) -> bytes:
+    return hashlib.sha256(key.encode()).digest()
