--- a/packages/jackdawcrank-proxy/src/jackdawcrank/logs/configure.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/logs/configure.py
@@ -7,6 +7,8 @@
 from jackdawcrank.logs.formatters import JsonFormatter, TextFormatter
 from jackdawcrank.logs.log_format import LogFormat
 
+VERBOSITIES = ("debug", "info", "warning", "error", "fatal")
+
 
 def configure_logging(
     log_format: LogFormat | str = LogFormat.TEXT, verbosity: str = "info"
@@ -21,6 +23,8 @@
     Raises:
       ValueError: The format or the verbosity is not one of these.
     """
+    if verbosity not in VERBOSITIES:
+        raise ValueError(f"{verbosity!r} is not one of {VERBOSITIES}")
     # The options come from click; absl has no command line to wait for.
     flags.FLAGS.mark_as_parsed()
     formatter = make_formatter(LogFormat(log_format))
--- /dev/null
+++ b/packages/jackdawcrank-proxy/tests/metrics/test_metrics.py
@@ -0,0 +1,71 @@
+"""Metrics in memory and on the wire."""
+
+import collections.abc
+import socket
+
+import pytest
+
+from jackdawcrank.metrics import METRICS, Metrics, names
+
+Receive = collections.abc.Callable[[], set[str]]
+
+
+@pytest.fixture
+def statsd_socket() -> collections.abc.Iterator[socket.socket]:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
+        receiver.bind(("127.0.0.1", 0))
+        receiver.settimeout(5)
+        yield receiver
+
+
+async def test_values_are_added_up_and_sent_once(
+    statsd_socket: socket.socket,
+) -> None:
+    metrics = Metrics("127.0.0.1", statsd_socket.getsockname()[1], "jc.vm-1")
+    await metrics.start()
+    for _ in range(3):
+        metrics.count(names.STATEMENTS, group="soil.core")
+    metrics.gauge(names.MEMBERS, 20)
+    metrics.gauge(names.MEMBERS, 21)
+    metrics.timing(names.STORE_TIME, 0.0125)
+    await metrics.flush(0.0)
+    lines = statsd_socket.recv(2000).decode().splitlines()
+    assert sorted(lines) == [
+        "jc.vm-1.members:21|g",
+        "jc.vm-1.statements.soil_core:3|c",
+        "jc.vm-1.store_time:12.500000|ms",
+    ]
+    metrics.count(names.REFUSED)
+    await metrics.close()
+    assert statsd_socket.recv(2000) == b"jc.vm-1.refused:1|c"
+
+
+async def test_a_snapshot_needs_no_statsd() -> None:
+    metrics = Metrics()
+    await metrics.start()
+    metrics.count(names.REFUSED, 2, "soil")
+    await metrics.flush(0.0)
+    metrics.count(names.REFUSED, 1, "soil")
+    metrics.timing(names.STORE_TIME, 0.010)
+    metrics.timing(names.STORE_TIME, 0.030)
+    assert metrics.snapshot() == {
+        "refused.soil": 3,
+        "store_time.count": 2,
+        "store_time.max": pytest.approx(30.0),
+        "store_time.mean": pytest.approx(20.0),
+    }
+    await metrics.close()
+
+
+def test_samples_between_two_flushes_are_bounded() -> None:
+    metrics = Metrics()
+    for _ in range(10_000):
+        metrics.timing(names.STORE_TIME, 0.001)
+    (totals,) = metrics.timings.values()
+    assert len(totals.samples) == 100
+    assert totals.count == 10_000
+
+
+def test_names_are_unique_and_explained() -> None:
+    assert len({spec.name for spec in METRICS}) == len(METRICS)
+    assert all(spec.help.endswith(".") and spec.unit for spec in METRICS)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/tests/peers/test_golden_session.py
@@ -0,0 +1,167 @@
+"""Every message of a whole session, as it is on the wire.
+
+Set `UPDATE_GOLDEN=1` to write the file anew after a change of the protocol.
+"""
+
+import asyncio
+import enum
+import os
+import pathlib
+import typing
+
+import attrs
+import msgpack
+import pytest
+
+from jackdawcrank.peers import peer_stream as stream_module
+from jackdawcrank_policy.values import Position
+from jackdawcrank_wire.codec import MsgpackCodec
+from jackdawcrank_wire.messages import (
+    Answer,
+    AskEvidence,
+    ChangesAnswer,
+    ChangesRequest,
+    ColumnInfo,
+    ConfigVersion,
+    EvidenceAnswer,
+    GiveUpLease,
+    LeaseGivenUp,
+    Leaving,
+    Message,
+    Ping,
+    Pong,
+    ResultError,
+    ResultOk,
+    ResultRows,
+    StatementOutcome,
+)
+
+GOLDEN = pathlib.Path(__file__).parent / "golden" / "session.txt"
+CODEC = MsgpackCodec()
+MAX_SHOWN_BYTES = 16
+
+
+class Recorder:
+    """Notes messages by step; within a step the dialer's come first."""
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+        self.step: dict[str, list[str]] = {"dialer": [], "acceptor": []}
+
+    def __call__(self, side: str, message: Message) -> list[Message]:
+        if not isinstance(message, Ping | Pong):
+            number, version, _ = msgpack.unpackb(CODEC.encode(message))
+            name = type(message).__name__
+            line = f"{side:8} {name} [{number}, {version}, {plain(message)}]"
+            self.step[side].append(line)
+        return [message]
+
+    def end(self, title: str) -> None:
+        lines = self.step["dialer"] + self.step["acceptor"]
+        self.lines += [f"# {title}", *lines, ""]
+        self.step = {"dialer": [], "acceptor": []}
+
+
+def plain(value: typing.Any) -> typing.Any:
+    """Return a value as lists, without fields that hold their defaults.
+
+    Only fields at the end are left out, as an older version would.
+    """
+    if attrs.has(type(value)):
+        fields = list(attrs.fields(type(value)))
+        while fields and getattr(value, fields[-1].name) == fields[-1].default:
+            fields.pop()
+        return [plain(getattr(value, field.name)) for field in fields]
+    if isinstance(value, enum.StrEnum):
+        return str(value)
+    if isinstance(value, tuple):
+        return [plain(item) for item in value]
+    if isinstance(value, bytes) and len(value) > MAX_SHOWN_BYTES:
+        return f"{value[:4].hex()}... {len(value)} bytes"
+    return value
+
+
+def fill_backends(pair: typing.Any) -> None:
+    plot = ColumnInfo("plot", 253, table="samples")
+    rows = ((b"12",), (None,))
+    big = ((b"x" * 40_000,),) * 3
+    refusal = ResultError(
+        StatementOutcome.NOT_RUN, "overloaded", 1040, retry_after_ms=250
+    )
+    pair.b.backend.answers |= {
+        b"SELECT plot": Answer(0, ResultRows((plot,), rows, Position(3, 17))),
+        b"INSERT": Answer(0, ResultOk(1, 42, Position(3, 18))),
+        b"SELECT all": Answer(0, ResultRows((plot,), big)),
+        b"BUSY": Answer(0, refusal),
+    }
+    pair.b.handlers.register(GiveUpLease, give_up_lease)
+    pair.b.handlers.register(ChangesRequest, give_changes)
+    pair.a.handlers.register(AskEvidence, give_evidence)
+
+
+async def give_up_lease(vm: str, message: GiveUpLease) -> LeaseGivenUp:
+    return LeaseGivenUp(0, message.group, message.term)
+
+
+async def give_changes(vm: str, message: ChangesRequest) -> ChangesAnswer:
+    return ChangesAnswer(0, 5, (b'{"kind":"group"}',), 5)
+
+
+async def give_evidence(vm: str, message: AskEvidence) -> EvidenceAnswer:
+    return EvidenceAnswer(0, message.group, "soil-1", 3, 0.5, suspects=False)
+
+
+async def settle(pair: typing.Any) -> None:
+    """Wait until everything that was sent has passed the relay."""
+    for links in (pair.a.links, pair.b.links):
+        for stream in links.streams.values():
+            await stream.check_idle()
+
+
+async def run_session(pair: typing.Any, recorder: Recorder) -> None:
+    a, b = pair.a.links, pair.b.links
+    statements = {
+        "read": b"SELECT plot",
+        "write": b"INSERT",
+        "large result": b"SELECT all",
+        "refusal": b"BUSY",
+    }
+    for title, sql in statements.items():
+        await pair.a.ask("vm-b", sql)
+        await settle(pair)
+        recorder.end(title)
+    requests = {
+        "lease given up": a.request("vm-b", GiveUpLease(0, "soil", 4), 2.0),
+        "evidence": b.request("vm-a", AskEvidence(0, "soil"), 2.0),
+        "changes": a.request("vm-b", ChangesRequest(0, 4), 2.0),
+        "unsupported": a.request("vm-b", AskEvidence(0, "soil"), 2.0),
+        "configuration version": a.notify("vm-b", ConfigVersion(5)),
+        "leaving": b.notify("vm-a", Leaving("vm-b")),
+    }
+    for title, request in requests.items():
+        await request
+        await settle(pair)
+        recorder.end(title)
+    pair.b.backend.hold(b"held")
+    task = asyncio.create_task(pair.a.ask("vm-b", b"held"))
+    await settle(pair)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await settle(pair)
+    recorder.end("caller gone")
+    await pair.b.links.close()
+    recorder.end("closing")
+
+
+async def test_a_whole_session(
+    pair: typing.Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(stream_module, "IDLE_CHECK_AFTER_SECONDS", -1.0)
+    recorder = Recorder()
+    pair.relay.hook = recorder
+    fill_backends(pair)
+    await run_session(pair, recorder)
+    text = "\n".join(recorder.lines)
+    if os.environ.get("UPDATE_GOLDEN"):
+        GOLDEN.write_text(text)
+    assert text == GOLDEN.read_text()
--- /dev/null
+++ b/packages/jackdawcrank-proxy/tests/peers/test_peer_links.py
@@ -0,0 +1,410 @@
+"""Requests between two proxies over real connections."""
+
+import asyncio
+import typing
+
+import pytest
+
+from jackdawcrank.peers import PeerUnreachable, StreamedAnswer, StreamedResult
+from jackdawcrank.peers import incoming_requests as incoming_module
+from jackdawcrank.peers import peer_stream as stream_module
+from jackdawcrank_wire.messages import (
+    Answer,
+    AnswerEnd,
+    AskEvidence,
+    Cancel,
+    ColumnInfo,
+    ConfigVersion,
+    EvidenceAnswer,
+    Execute,
+    Message,
+    ResultError,
+    ResultOk,
+    ResultRows,
+    RowsChunk,
+    StatementOutcome,
+    StatementRequest,
+)
+
+COLUMNS = (ColumnInfo("plot", 253),)
+ROW = (b"x" * 10_000,)
+
+
+def info(answer: typing.Any) -> str:
+    assert isinstance(answer, Answer)
+    assert isinstance(answer.result, ResultOk)
+    return answer.result.info
+
+
+def is_unsent(answer: typing.Any) -> bool:
+    return isinstance(answer, PeerUnreachable) and not answer.sent
+
+
+def is_doubtful(answer: typing.Any) -> bool:
+    return isinstance(answer, PeerUnreachable) and answer.sent
+
+
+async def test_one_stream_carries_both_ends_requests(pair: typing.Any) -> None:
+    assert info(await pair.a.ask("vm-b", b"one")) == "one"
+    assert info(await pair.b.ask("vm-a", b"two")) == "two"
+    assert pair.relay.accepted == 1
+
+
+async def test_answers_in_another_order_reach_their_requests(
+    pair: typing.Any,
+) -> None:
+    names = [b"%d" % number for number in range(20)]
+    for name in names:
+        pair.b.backend.hold(name)
+    tasks = [asyncio.create_task(pair.a.ask("vm-b", name)) for name in names]
+    for name in reversed(names):
+        pair.b.backend.hold(name).set()
+    answers = [info(await task) for task in tasks]
+    assert answers == [name.decode() for name in names]
+
+
+async def test_a_late_answer_reaches_nobody(
+    pair: typing.Any, eventually: typing.Any
+) -> None:
+    pair.relay.hook = lambda side, message: (
+        [] if isinstance(message, Cancel) else [message]
+    )
+    hold = pair.b.backend.hold(b"slow")
+    assert is_doubtful(await pair.a.ask("vm-b", b"slow", timeout=0.03))
+    stream = pair.a.links.streams["vm-b"]
+    hold.set()
+    await eventually(lambda: stream.pending.dropped == 1)
+    assert info(await pair.a.ask("vm-b", b"next")) == "next"
+
+
+async def test_duplicated_frames_have_no_effect(pair: typing.Any) -> None:
+    pair.relay.hook = lambda side, message: (
+        [message] * (3 if isinstance(message, Execute | Answer) else 1)
+    )
+    for sql in (b"one", b"two", b"three"):
+        assert info(await pair.a.ask("vm-b", sql)) == sql.decode()
+    assert pair.b.backend.seen == [b"one", b"two", b"three"]
+
+
+async def test_a_duplicate_of_a_refused_request_is_not_run(
+    pair: typing.Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    frames: list[Message] = []
+
+    def repeat_refused(side: str, message: Message) -> list[Message]:
+        if isinstance(message, Execute):
+            frames.append(message)
+        return [*frames, message] if frames else [message]
+
+    pair.relay.hook = repeat_refused
+    monkeypatch.setattr(incoming_module, "MAX_INCOMING", 0)
+    assert is_unsent(await pair.a.ask("vm-b", b"refused"))
+    monkeypatch.undo()
+    assert info(await pair.a.ask("vm-b", b"next")) == "next"
+    assert pair.b.backend.seen == [b"next"]
+
+
+async def test_an_answer_of_another_type_ends_the_stream(
+    pair: typing.Any,
+) -> None:
+    def swap(side: str, message: Message) -> list[Message]:
+        if isinstance(message, Answer):
+            return [EvidenceAnswer(message.request_number, "soil")]
+        return [message]
+
+    pair.relay.hook = swap
+    assert is_doubtful(await pair.a.ask("vm-b", b"one"))
+    pair.relay.hook = lambda side, message: [message]
+    assert info(await pair.a.ask("vm-b", b"two")) == "two"
+
+
+async def test_a_stream_that_goes_silent_is_replaced(
+    pair: typing.Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(stream_module, "TICK_SECONDS", 0.005)
+    await pair.a.ask("vm-b", b"one")
+    stream = pair.a.links.streams["vm-b"]
+    pair.relay.freeze()
+    answer = await pair.a.ask("vm-b", b"two")
+    assert is_doubtful(answer)
+    assert answer.detail == "silent"
+    assert info(await pair.a.ask("vm-b", b"three")) == "three"
+    assert pair.a.links.streams["vm-b"] is not stream
+
+
+async def test_a_slow_handler_is_not_taken_for_silence(
+    pair: typing.Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(stream_module, "TICK_SECONDS", 0.002)
+    hold = pair.b.backend.hold(b"slow")
+    task = asyncio.create_task(pair.a.ask("vm-b", b"slow"))
+    await asyncio.sleep(0.05)
+    hold.set()
+    assert info(await task) == "slow"
+    assert pair.relay.accepted == 1
+
+
+async def test_silence_while_idle_leaves_no_outcome_unknown(
+    pair: typing.Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    await pair.a.ask("vm-b", b"one")
+    pair.relay.freeze()
+    monkeypatch.setattr(stream_module, "IDLE_CHECK_AFTER_SECONDS", -1.0)
+    monkeypatch.setattr(stream_module, "IDLE_CHECK_SECONDS", 0.02)
+    assert info(await pair.a.ask("vm-b", b"two")) == "two"
+    assert pair.b.backend.seen == [b"one", b"two"]
+    assert pair.relay.accepted == 2
+
+
+async def test_a_cut_stream_leaves_the_outcome_open(
+    pair: typing.Any, eventually: typing.Any
+) -> None:
+    pair.b.backend.hold(b"held")
+    lost: list[str] = []
+    pair.a.links.lost_callbacks.append(lambda vm, _: lost.append(vm))
+    task = asyncio.create_task(pair.a.ask("vm-b", b"held"))
+    await eventually(lambda: pair.b.backend.seen == [b"held"])
+    pair.relay.cut()
+    assert is_doubtful(await task)
+    assert lost == ["vm-b"]
+    await eventually(lambda: pair.b.backend.cancelled == [b"held"])
+
+
+async def test_an_unreachable_peer_is_not_dialed_at_once_again(
+    pair: typing.Any,
+) -> None:
+    await pair.relay.close()
+    first = await pair.a.ask("vm-b", b"one")
+    second = await pair.a.ask("vm-b", b"one")
+    assert is_unsent(first)
+    assert is_unsent(second)
+    assert second.detail == "failed a short time ago"
+    assert is_unsent(await pair.a.ask("vm-x", b"one"))
+
+
+async def test_an_address_that_another_vm_took_over_gets_nothing(
+    pair: typing.Any,
+) -> None:
+    other = await pair.add("vm-c")
+    pair.a.links.set_addresses({"vm-b": ("127.0.0.1", other.server.port)})
+    assert is_unsent(await pair.a.ask("vm-b", b"one"))
+    assert other.backend.seen == []
+
+
+async def test_a_caller_that_gives_up_cancels_the_handler(
+    pair: typing.Any, eventually: typing.Any
+) -> None:
+    pair.b.backend.hold(b"held")
+    task = asyncio.create_task(pair.a.ask("vm-b", b"held"))
+    await eventually(lambda: pair.b.backend.seen == [b"held"])
+    task.cancel()
+    await eventually(lambda: pair.b.backend.cancelled == [b"held"])
+    await eventually(lambda: not len(pair.a.links.streams["vm-b"].pending))
+
+
+async def test_a_broken_handler_leaves_the_outcome_open(
+    pair: typing.Any,
+) -> None:
+    pair.b.backend.answers[b"broken"] = lambda: 1 / 0
+    pair.b.backend.answers[b"nothing"] = None
+    assert is_doubtful(await pair.a.ask("vm-b", b"broken"))
+    assert is_doubtful(await pair.a.ask("vm-b", b"nothing"))
+    assert info(await pair.a.ask("vm-b", b"fine")) == "fine"
+
+
+async def test_a_request_without_handler_is_refused(pair: typing.Any) -> None:
+    question = AskEvidence(0, "soil")
+    assert is_unsent(await pair.a.links.request("vm-b", question, 1.0))
+
+
+@pytest.mark.parametrize(
+    ("module", "name"),
+    [(incoming_module, "MAX_INCOMING"), (stream_module, "MAX_PENDING")],
+)
+async def test_requests_above_a_bound_reach_no_handler(
+    pair: typing.Any,
+    monkeypatch: pytest.MonkeyPatch,
+    eventually: typing.Any,
+    module: typing.Any,
+    name: str,
+) -> None:
+    monkeypatch.setattr(module, name, 1)
+    hold = pair.b.backend.hold(b"held")
+    task = asyncio.create_task(pair.a.ask("vm-b", b"held"))
+    await eventually(lambda: pair.b.backend.seen == [b"held"])
+    assert is_unsent(await pair.a.ask("vm-b", b"more"))
+    hold.set()
+    assert info(await task) == "held"
+    assert pair.b.backend.seen == [b"held"]
+
+
+async def test_a_closing_peer_answers_what_it_has_and_takes_no_more(
+    pair: typing.Any, eventually: typing.Any
+) -> None:
+    hold = pair.b.backend.hold(b"held")
+    task = asyncio.create_task(pair.a.ask("vm-b", b"held"))
+    await eventually(lambda: pair.b.backend.seen == [b"held"])
+    closing = asyncio.create_task(pair.b.close())
+    await eventually(lambda: pair.a.links.connected() == [])
+    late = asyncio.create_task(pair.a.ask("vm-b", b"late", timeout=0.05))
+    hold.set()
+    assert info(await task) == "held"
+    assert is_unsent(await late)
+    await closing
+    assert pair.b.backend.seen == [b"held"]
+
+
+async def test_a_request_that_crosses_the_closing_is_not_run(
+    pair: typing.Any,
+) -> None:
+    await pair.a.ask("vm-b", b"one")
+    stream = pair.b.links.streams["vm-a"]
+    closing = asyncio.create_task(stream.close())
+    answer = await pair.a.ask("vm-b", b"two")
+    assert info(answer) == "two"
+    await closing
+    assert pair.b.backend.seen == [b"one", b"two"]
+    assert pair.relay.accepted == 2
+
+
+async def test_idle_streams_are_closed_and_opened_again(
+    pair: typing.Any, eventually: typing.Any
+) -> None:
+    await pair.a.ask("vm-b", b"one")
+    stream = pair.a.links.streams["vm-b"]
+    await pair.a.links.close_idle(0.0)
+    assert stream.usable
+    stream.used_at -= 100.0
+    await pair.a.links.close_idle(0.0)
+    await eventually(lambda: stream.lost)
+    assert info(await pair.a.ask("vm-b", b"two")) == "two"
+
+
+async def test_two_ends_that_dial_at_once_agree_on_one_stream(
+    pair: typing.Any,
+) -> None:
+    pair.b.links.set_addresses({"vm-a": ("127.0.0.1", pair.a.server.port)})
+    await asyncio.gather(pair.a.ask("vm-b", b"one"), pair.b.ask("vm-a", b"two"))
+    await pair.a.ask("vm-b", b"three")
+    dialers = {
+        pair.a.links.streams["vm-b"].connection.dialer,
+        pair.b.links.streams["vm-a"].connection.dialer,
+    }
+    assert dialers == {"vm-a"}
+
+
+async def test_a_restarted_peer_replaces_its_old_stream(
+    pair: typing.Any, eventually: typing.Any
+) -> None:
+    await pair.a.ask("vm-b", b"one")
+    again = await pair.add("vm-b", boot="2")
+    again.links.set_addresses({"vm-a": ("127.0.0.1", pair.a.server.port)})
+    await again.ask("vm-a", b"hello")
+    assert info(await pair.a.ask("vm-b", b"two")) == "two"
+    assert again.backend.seen == [b"two"]
+
+
+async def test_notices_reach_their_handler(
+    pair: typing.Any, eventually: typing.Any
+) -> None:
+    seen: list[tuple[str, int]] = []
+
+    async def on_version(vm: str, message: ConfigVersion) -> None:
+        seen.append((vm, message.version))
+
+    pair.b.handlers.register(ConfigVersion, on_version)
+    assert await pair.a.links.notify("vm-b", ConfigVersion(7))
+    pair.a.links.broadcast(ConfigVersion(8))
+    await eventually(lambda: seen == [("vm-a", 7), ("vm-a", 8)])
+    assert not await pair.a.links.notify("vm-x", ConfigVersion(9))
+
+
+async def test_a_large_result_comes_whole(pair: typing.Any) -> None:
+    rows = (ROW,) * 500
+    whole = ResultRows(COLUMNS, rows)
+    pair.b.backend.answers[b"big"] = Answer(0, whole)
+    answer = await pair.a.ask("vm-b", b"big", timeout=10.0)
+    assert isinstance(answer, Answer)
+    assert answer.result == whole
+
+
+async def open_big(pair: typing.Any) -> StreamedAnswer:
+    pair.b.backend.answers[b"big"] = Answer(
+        0, ResultRows(COLUMNS, (ROW,) * 500)
+    )
+    statement = StatementRequest("soil", b"big")
+    answer = await pair.a.links.open_answer("vm-b", Execute(0, statement), 10.0)
+    assert isinstance(answer, StreamedAnswer)
+    return answer
+
+
+async def test_a_result_that_nobody_reads_blocks_no_other(
+    pair: typing.Any,
+) -> None:
+    sent: list[RowsChunk] = []
+
+    def count(side: str, message: Message) -> list[Message]:
+        if isinstance(message, RowsChunk):
+            sent.append(message)
+        return [message]
+
+    pair.relay.hook = count
+    big = await open_big(pair)
+    for _ in range(20):
+        assert info(await pair.a.ask("vm-b", b"small")) == "small"
+    assert len(sent) <= 8
+    assert sum([len(rows) async for rows in big.chunks()]) > 400
+    assert isinstance(big.end, AnswerEnd)
+
+
+async def test_a_closed_result_frees_its_sender(
+    pair: typing.Any, eventually: typing.Any
+) -> None:
+    big = await open_big(pair)
+    big.close()
+    await eventually(lambda: not len(pair.b.links.streams["vm-a"].incoming))
+
+
+async def test_a_result_cut_off_midway_is_not_taken_for_whole(
+    pair: typing.Any,
+) -> None:
+    big = await open_big(pair)
+    pair.relay.cut()
+    async for _ in big.chunks():
+        pass
+    assert is_doubtful(big.end)
+
+
+async def test_a_result_with_missing_rows_is_not_taken_for_whole(
+    pair: typing.Any,
+) -> None:
+    chunks: list[Message] = []
+
+    def drop_second(side: str, message: Message) -> list[Message]:
+        if isinstance(message, RowsChunk):
+            chunks.append(message)
+        return [] if len(chunks) == 2 and message is chunks[1] else [message]
+
+    pair.relay.hook = drop_second
+    pair.b.backend.answers[b"big"] = Answer(0, ResultRows(COLUMNS, (ROW,) * 30))
+    answer = await pair.a.ask("vm-b", b"big")
+    assert is_doubtful(answer)
+    assert answer.detail == "rows missing"
+
+
+async def test_a_result_that_breaks_off_gives_its_error(
+    pair: typing.Any,
+) -> None:
+    error = ResultError(StatementOutcome.FAILED, "server", 3024)
+
+    async def rows() -> typing.Any:
+        yield (ROW,)
+        yield error
+
+    def answer() -> StreamedResult:
+        return StreamedResult(Answer(0, ResultRows(COLUMNS, (ROW,))), rows())
+
+    pair.b.backend.answers[b"breaks"] = answer
+    result = await pair.a.ask("vm-b", b"breaks")
+    assert isinstance(result, Answer)
+    assert result.result == error
