Give up on answers that a replaced primary owes

Change: a quarter of a second after a later term opens, connections on which the old primary owes an answer are closed; a write with a request id is then looked up under the later term and, where that has no record, run again.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
@@ -1,11 +1,13 @@
 """What a home proxy knows and holds of one database group."""
 
+import asyncio
 import math
 import random
 from collections.abc import Callable, Sequence
 
 from jackdawcrank.backend.endpoint import Endpoint
 from jackdawcrank.backend.mysql_control import MysqlControl
+from jackdawcrank.backend.server_link import ServerLink
 from jackdawcrank.backend.server_pool import ServerPool
 from jackdawcrank.execution.open_primary import OpenPrimary
 from jackdawcrank.execution.signal import Signal
@@ -27,6 +29,8 @@
 FAILOVER_WAIT_SECONDS = 3.0
 MAX_FAILOVER_WAITERS = 256
 NO_PRIMARY_RETRY_MS = 500
+# Answers of a replaced primary that are under way may still come.
+OLD_TERM_GRACE_SECONDS = 0.25
 CONTROL_CONNECTIONS = 2
 HOME_SEATS = 4
 LATENCY_WEIGHT = 0.1
@@ -50,6 +54,8 @@
       controls: The control connections to each server.
       term_changed: Notified when the row or a lease changes.
       evidence_changed: Notified when a probe was answered.
+      busy_links: Connections to primaries that run a statement, with the
+        term under which it was sent.
     """
 
     def __init__(
@@ -84,6 +90,7 @@
         self.term_changed = Signal()
         self.evidence_changed = Signal()
         self.failover_waiters = 0
+        self.busy_links: dict[ServerLink, int] = {}
 
     @property
     def name(self) -> str:
@@ -165,6 +172,7 @@
         if row.phase is GroupPhase.ACTIVE:
             self.table.primary = row.primary
             self.table.evidence.begin_term(row.branch)
+            self._abandon_older_terms(row.term)
         self.hold_term()
         self.apply_budget()
         self.term_changed.notify()
@@ -301,6 +309,17 @@
             if primary is not None:
                 return primary
 
+    def _abandon_older_terms(self, term: int) -> None:
+        """Close connections on which a replaced primary owes an answer."""
+        if any(started < term for started in self.busy_links.values()):
+            loop = asyncio.get_running_loop()
+            loop.call_later(OLD_TERM_GRACE_SECONDS, self._close_older, term)
+
+    def _close_older(self, term: int) -> None:
+        for link, started in tuple(self.busy_links.items()):
+            if started < term:
+                link.close()
+
     def _ensure_connections(self, server: ServerSpec) -> None:
         known = self.pools.get(server.name)
         if known is not None and _same_address(known.endpoint, server):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
@@ -191,7 +191,7 @@
         found = await self.records.look_up(request.request_id, deadline)
         if isinstance(found, NotRun):
             return result_error(found)
-        return _request_rows(request.request_id, found)
+        return _request_rows(request.request_id, found.record)
 
     async def _position(self, request: StatementRequest) -> StatementResult:
         """Return a position at or above what the session's last read saw."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/read_path.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/read_path.py
@@ -247,7 +247,9 @@
         primary = await self.state.wait_for_primary(deadline)
         if isinstance(primary, NotRun):
             return result_error(primary)
-        answer = await self.runner.run(primary.server, request, deadline)
+        answer = await self.runner.run(
+            primary.server, request, deadline, primary.term
+        )
         if isinstance(answer, NotStarted):
             return result_error(
                 NotRun(NotRunReason.NO_SERVER, answer.detail, 200)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/request_records.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/request_records.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import attrs
+
 from jackdawcrank.backend.answer import (
     ErrorAnswer,
     LinkAnswer,
@@ -81,6 +83,19 @@
             return ConnectionLost(answer.detail)
 
 
+@attrs.frozen
+class LookUp:
+    """What the primary of a term says of a request.
+
+    Attributes:
+      record: The request's record; None if the branch has none.
+      term: The term under which it was looked up.
+    """
+
+    record: RequestRecord | None
+    term: int
+
+
 class RequestRecords:
     """A group's request records on the primary.
 
@@ -157,8 +172,8 @@
 
     async def look_up(
         self, request_id: str, deadline: float
-    ) -> RequestRecord | None | NotRun:
-        """Return the record of a request on the open term, if it has one.
+    ) -> LookUp | NotRun:
+        """Look for the record of a request on the open term.
 
         Args:
           request_id: The request id.
@@ -174,24 +189,33 @@
             )
             stands = verdict is ReadVerdict.STANDS
             if stands and isinstance(answer, RowsAnswer | ErrorAnswer):
-                return _record(answer)
+                return LookUp(_record(answer), primary.term)
             if self.state.clock() >= deadline:
                 return no_answer()
             await asyncio.sleep(SETTLE_PAUSE_SECONDS)
 
     async def settle(
-        self, request_id: str, deadline: float
-    ) -> RequestRecord | None:
-        """Look for a record that a lost answer may have left behind.
+        self, request_id: str, term: int, deadline: float
+    ) -> LookUp | None:
+        """Find out whether a write with a lost answer stands.
+
+        Without a record under a later term the write can't come any more.
 
         Args:
           request_id: The request id.
+          term: The term under which the write was sent.
           deadline: When the caller gives up, on the monotonic clock.
+
+        Returns:
+          The record or the later term that has none; None if neither was
+          found in time.
         """
         until = min(deadline, self.state.clock() + SETTLE_SECONDS)
         while self.state.clock() < until:
             found = await self.look_up(request_id, until)
-            if isinstance(found, RequestRecord):
+            if isinstance(found, LookUp) and (
+                found.record is not None or found.term > term
+            ):
                 return found
             await asyncio.sleep(SETTLE_PAUSE_SECONDS)
         return None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
@@ -37,7 +37,11 @@
         self.state = state
 
     async def run(
-        self, server: str, request: StatementRequest, deadline: float
+        self,
+        server: str,
+        request: StatementRequest,
+        deadline: float,
+        term: int | None = None,
     ) -> LinkAnswer | NotStarted:
         """Run a request's statement on a server.
 
@@ -45,6 +49,8 @@
           server: The server's name.
           request: The statement with its options.
           deadline: When the caller gives up, on the monotonic clock.
+          term: The term of the server if it is chosen as primary; the
+            statement is abandoned once a later term is open.
         """
         link = await self.acquire(server, request.setup, deadline)
         if isinstance(link, NotStarted):
@@ -55,9 +61,12 @@
         if load is not None:
             load.start()
         try:
+            if term is not None:
+                self.state.busy_links[link] = term
             answer = await link.run(request.sql, self.remaining(deadline))
             return answer
         finally:
+            self.state.busy_links.pop(link, None)
             self.state.pools[server].release(link)
             if load is not None:
                 now = self.state.clock()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
@@ -219,6 +219,7 @@
             self.state.clock(),
         )
         self.open[request.transaction_id] = transaction
+        self.state.busy_links[link] = primary.term
         return transaction
 
     async def _serve(
@@ -305,7 +306,7 @@
         outcome = await self._judge_commit(transaction, answer, deadline)
         self._finish(transaction)
         if isinstance(outcome, ResultError) and request.request_id:
-            return await self._settle(outcome, request, deadline)
+            return await self._settle(transaction, outcome, request, deadline)
         return outcome
 
     async def _judge_commit(
@@ -365,18 +366,28 @@
         if isinstance(answer, ErrorAnswer) and answer.code == DUPLICATE_KEY:
             self.counters.repeats += 1
             found = await self.records.look_up(request.request_id, deadline)
-            if isinstance(found, NotRun):
-                return result_error(Unknown(found.detail))
+            if isinstance(found, NotRun) or found.record is None:
+                return result_error(Unknown("its record was not found"))
             return ResultOk()
         return lost_transaction(f"its request id was not recorded: {answer}")
 
     async def _settle(
-        self, doubt: ResultError, request: StatementRequest, deadline: float
+        self,
+        transaction: OpenTransaction,
+        doubt: ResultError,
+        request: StatementRequest,
+        deadline: float,
     ) -> StatementResult:
         if doubt.outcome is not StatementOutcome.UNKNOWN:
             return doubt
-        record = await self.records.settle(request.request_id, deadline)
-        return doubt if record is None else ResultOk()
+        found = await self.records.settle(
+            request.request_id, transaction.primary.term, deadline
+        )
+        if found is None:
+            return doubt
+        if found.record is None:
+            return lost_transaction("the primary was replaced")
+        return ResultOk()
 
     async def _roll_back(self, transaction: OpenTransaction) -> StatementResult:
         if self.open.get(transaction.transaction_id) is not transaction:
@@ -394,6 +405,7 @@
 
     def _finish(self, transaction: OpenTransaction) -> None:
         if self.open.pop(transaction.transaction_id, None) is transaction:
+            self.state.busy_links.pop(transaction.link, None)
             pool = self.state.pools[transaction.primary.server]
             pool.release(transaction.link)
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
@@ -6,7 +6,12 @@
     LostAnswer,
     OkAnswer,
 )
-from jackdawcrank.execution.acknowledger import Acknowledger, ReadVerdict
+from jackdawcrank.execution.acknowledger import (
+    LOST_WRITE_CODE,
+    LOST_WRITE_STATE,
+    Acknowledger,
+    ReadVerdict,
+)
 from jackdawcrank.execution.admission_gate import AdmissionGate
 from jackdawcrank.execution.counters import GroupCounters
 from jackdawcrank.execution.group_state import GroupState
@@ -103,7 +108,9 @@
                 return result_error(primary)
             if request.request_id:
                 return await self._run_recorded(primary, request, deadline)
-            answer = await self.runner.run(primary.server, request, deadline)
+            answer = await self.runner.run(
+                primary.server, request, deadline, primary.term
+            )
             again = request.repeatable and attempt < MAX_ATTEMPTS
             if not _was_rolled_back(answer) or not again:
                 return await self._judge(answer, primary, deadline)
@@ -162,18 +169,22 @@
             return await self._judge(link, primary, deadline)
         kind = classify(request.sql.decode()).kind
         implicit = kind is FrontKind.IMPLICIT_COMMIT
+        self.state.busy_links[link] = primary.term
         try:
             finish = await self.records.execute(
                 link, request, implicit, deadline
             )
         finally:
+            self.state.busy_links.pop(link, None)
             self.state.pools[primary.server].release(link)
         if isinstance(finish, Executed):
             return await self._judge_executed(
                 finish, primary, request, deadline
             )
         if isinstance(finish, Unknown):
-            return await self._settle(finish, request, deadline)
+            return await self._settle(finish, primary, request, deadline)
+        if self._runs_elsewhere(finish, primary) and request.repeatable:
+            return await self._attempts(request, deadline)
         return result_error(finish)
 
     async def _judge_executed(
@@ -186,7 +197,7 @@
         position = finish.position
         verdict = await self._verdict(position, primary, deadline)
         if isinstance(verdict, Unknown):
-            return await self._settle(verdict, request, deadline)
+            return await self._settle(verdict, primary, request, deadline)
         if not isinstance(verdict, Done):
             return result_error(verdict)
         if finish.repeated:
@@ -207,17 +218,46 @@
         return Position(position.term, position.offset)
 
     async def _settle(
-        self, doubt: Unknown, request: StatementRequest, deadline: float
+        self,
+        doubt: Unknown,
+        sent_to: OpenPrimary,
+        request: StatementRequest,
+        deadline: float,
     ) -> StatementResult:
-        record = await self.records.settle(request.request_id, deadline)
-        if record is None:
+        """Find out what became of a write whose answer was lost."""
+        found = await self.records.settle(
+            request.request_id, sent_to.term, deadline
+        )
+        if found is None:
             return result_error(doubt)
+        if found.record is None:
+            return await self._not_kept(request, deadline)
         primary = self.state.primary()
         position = None
         if primary is not None:
             position = await self._bound_of_repeat(primary)
         self.counters.writes += 1
-        return _ok(record.result, position, "")
+        return _ok(found.record.result, position, "")
+
+    async def _not_kept(
+        self, request: StatementRequest, deadline: float
+    ) -> StatementResult:
+        """Run a write again that a later term has not kept, if it may be."""
+        if request.repeatable:
+            return await self._attempts(request, deadline)
+        detail = "the primary was replaced and did not keep the write"
+        return result_error(Failed(LOST_WRITE_CODE, LOST_WRITE_STATE, detail))
+
+    def _runs_elsewhere(
+        self, finish: NotRun | Failed, primary: OpenPrimary
+    ) -> bool:
+        """Return whether a write left no effect and a later term is open."""
+        if isinstance(finish, NotRun):
+            passing = finish.reason is NotRunReason.NO_PRIMARY
+        else:
+            passing = finish.code == READ_ONLY_CODE
+        current = self.state.primary()
+        return passing and current is not None and current.term > primary.term
 
 
 def _was_rolled_back(answer: LinkAnswer | NotStarted) -> bool:
