--- a/packages/jackdawcrank-proxy/src/jackdawcrank/config/follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/config/follower.py
@@ -23,9 +23,12 @@
 
 HEAD_READ_SECONDS = 0.8
 JITTER_FRACTION = 0.2
+MIN_PAUSE_SECONDS = 0.1
+SLOW_SECONDS = 0.4
 PEER_PAUSE_SECONDS = 1.0
 
 OnChange = Callable[[Configuration, tuple[Change, ...]], None]
+OnStore = Callable[[bool], None]
 OnHeadRead = Callable[[float, int], None]
 LearnFromPeers = Callable[[int], Awaitable[Iterable[Learned]]]
 
@@ -39,6 +42,7 @@
       head_version: The newest version that a read of the head showed.
       floor: The oldest change in the log, as of that read.
       changed: Wakes those who wait for a newer version.
+      slow: Whether the last read of the head took long.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         on_change: OnChange = lambda configuration, changes: None,
         on_head_read: OnHeadRead = lambda sent_at, version: None,
         learn_from_peers: LearnFromPeers | None = None,
+        on_store: OnStore = lambda answers: None,
         interval_seconds: float = HEAD_READ_SECONDS,
         rng: random.Random | None = None,
     ) -> None:
@@ -63,6 +68,7 @@
             is in force.
           learn_from_peers: Asks peers for what is above a version; used
             while the store does not answer.
+          on_store: Called when the store begins or ceases to answer.
           interval_seconds: The time between two reads.
           rng: The source of jitter.
         """
@@ -71,6 +77,7 @@
         self.on_change = on_change
         self.on_head_read = on_head_read
         self.learn_from_peers = learn_from_peers
+        self.on_store = on_store
         self.interval_seconds = interval_seconds
         self.rng = rng or random.Random()
         self.state = ConfigurationState()
@@ -81,6 +88,9 @@
         self.subscription: Subscription | None = None
         self.reading = asyncio.Lock()
         self.peers_asked_at = float("-inf")
+        self.read_at = float("-inf")
+        self.slow = False
+        self.closed = False
 
     @property
     def configuration(self) -> Configuration:
@@ -94,35 +104,40 @@
 
     async def start(self) -> None:
         """Read once, then at regular intervals."""
-        await self.read()
-        self.subscription = self.timer.subscribe(
-            "head",
-            self.interval_seconds,
-            self.tick,
-            JITTER_FRACTION,
-            self.rng,
-        )
+        await self.tick(self.timer.now())
 
     async def close(self) -> None:
         """Read no more; nobody who waits is woken by a newer version."""
+        self.closed = True
         if self.subscription is not None:
             self.subscription.close()
 
     async def tick(self, now: float) -> None:
-        """Read the head when the timer says so."""
-        await self.read()
+        """Read the head, and again an interval after this read began."""
+        began_at = self.timer.now()
+        try:
+            await self.read()
+        finally:
+            took = self.timer.now() - began_at
+            jitter = self.rng.uniform(-JITTER_FRACTION, JITTER_FRACTION)
+            pause = self.interval_seconds * (1 + jitter) - took
+            if not self.closed:
+                pause = max(MIN_PAUSE_SECONDS, pause)
+                self.subscription = self.timer.call_later(pause, self.tick)
 
     async def peer_is_at(self, version: int) -> None:
         """Take in that a peer has a version; read at once if it is newer."""
-        if version > self.version and not self.reading.locked():
+        lately = self.timer.now() - self.read_at < MIN_PAUSE_SECONDS
+        if version > self.version and not lately:
             await self.read()
 
     async def read(self) -> None:
         """Read the head and apply what changed, or else ask peers."""
         async with self.reading:
-            sent_at = self.timer.now()
-            head = await read_head(self.store)
-            self.store_answers = isinstance(head, Head)
+            sent_at = self.read_at = self.timer.now()
+            head = await self.read_head()
+            self.note_store(isinstance(head, Head))
+            self.slow = self.timer.now() - sent_at > SLOW_SECONDS
             if isinstance(head, StoreUnavailable):
                 await self.ask_peers()
             elif await self.catch_up(head):
@@ -130,6 +145,23 @@
                 self.floor = max(self.floor, head.floor)
                 self.on_head_read(sent_at, head.version)
 
+    async def read_head(self) -> Head | StoreUnavailable:
+        """Read the head; from a slow store the changes at the same time."""
+        if not self.slow:
+            return await read_head(self.store)
+        head, changes = await asyncio.gather(
+            read_head(self.store), read_changes(self.store, self.version)
+        )
+        if not isinstance(changes, StoreUnavailable):
+            self.apply(changes)
+        return head
+
+    def note_store(self, answers: bool) -> None:
+        """Record whether the store answers."""
+        if answers != self.store_answers:
+            self.store_answers = answers
+            self.on_store(answers)
+
     async def catch_up(self, head: Head) -> bool:
         """Apply every change up to a head; return whether that worked."""
         behind = head.floor > self.version + 1
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/watch.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/watch.py
@@ -1,6 +1,7 @@
 """Streams changes from a version on."""
 
 import asyncio
+import dataclasses
 import json
 from collections.abc import Sequence
 
@@ -13,6 +14,7 @@
     BAD_REQUEST,
     GONE,
     error_answer,
+    unavailable_answer,
 )
 from jackdawcrank.store import StoreUnavailable
 from jackdawcrank.store.change_reader import read_changes
@@ -23,6 +25,11 @@
 LINES = {"Content-Type": "application/x-ndjson"}
 
 
+@dataclasses.dataclass(frozen=True)
+class Forgotten:
+    """The change that follows a version is no longer kept."""
+
+
 class WatchHandler:
     """Sends each change above a version once, in order, as a JSON line.
 
@@ -57,7 +64,9 @@
             message = f"{MAX_WATCHES} watches are open on this VM"
             return error_answer(BAD_REQUEST, "too_many", message)
         first = await self.changes_after(version)
-        if first is None:
+        if isinstance(first, StoreUnavailable):
+            return unavailable_answer(False, first.detail)
+        if isinstance(first, Forgotten):
             return gone(version, follower.floor)
         response = web.StreamResponse(headers=LINES)
         await response.prepare(request)
@@ -85,7 +94,7 @@
                 bookmark = {"version": version, "bookmark": True}
                 await send_line(response, bookmark)
             following = await self.changes_after(version)
-            if following is None:
+            if isinstance(following, Forgotten | StoreUnavailable):
                 return
             changes = following
 
@@ -106,20 +115,19 @@
                 wait.cancel()
         return self.ports.follower.version > version
 
-    async def changes_after(self, version: int) -> Sequence[Change] | None:
-        """Return the changes above a version, in order and without gaps.
-
-        Returns:
-          None if the change that follows the version is gone or, for now,
-          can't be read.
-        """
+    async def changes_after(
+        self, version: int
+    ) -> Sequence[Change] | Forgotten | StoreUnavailable:
+        """Return the changes above a version, in order and without gaps."""
         known = self.ports.follower.state.changes_after(version)
         if known is not None:
             return known
         read = await read_changes(self.ports.store, version)
-        if isinstance(read, StoreUnavailable) or not read:
-            return None
-        return read if read[0].version == version + 1 else None
+        if isinstance(read, StoreUnavailable):
+            return read
+        if not read or read[0].version != version + 1:
+            return Forgotten()
+        return read
 
 
 def gone(version: int, floor: int) -> web.Response:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/channel.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/channel.py
@@ -15,7 +15,6 @@
 from jackdawcrank.store.traffic import Traffic
 
 SERVER_ERROR = 500
-RETRY_PAUSE_SECONDS = 0.1
 CHUNK_BYTES = 64 * 1024
 LIBRARY_ERRORS = (aiohttp.ClientError, OSError, asyncio.TimeoutError)
 
@@ -99,19 +98,37 @@
             await session.close()
 
     async def send(self, request: Request) -> Answer | StoreUnavailable:
-        """Send a request; a read is sent again while its time lasts."""
-        attempts = self.limits.read_attempts if request.reads else 1
+        """Send a request; a read is sent twice if it is slow or fails."""
         deadline = self.clock() + request.seconds
-        outcome = await self.attempt(request, deadline)
-        for attempt in range(1, attempts):
+        if not request.reads:
+            return await self.attempt(request, deadline)
+        first = asyncio.create_task(self.attempt(request, deadline))
+        second = asyncio.create_task(self.reserve(first, request, deadline))
+        try:
+            return await first_answer(first, second)
+        finally:
+            first.cancel()
+            second.cancel()
+
+    async def reserve(
+        self,
+        first: "asyncio.Task[Answer | StoreUnavailable]",
+        request: Request,
+        deadline: float,
+    ) -> Answer | StoreUnavailable:
+        """Send a read again once the first try is slow or has failed.
+
+        The second try goes over another connection, so that one that went
+        silent costs little.
+        """
+        await asyncio.wait([first], timeout=self.limits.hedge_seconds)
+        if first.done():
+            outcome = first.result()
             if isinstance(outcome, Answer):
-                break
-            pause = self.rng.uniform(0, RETRY_PAUSE_SECONDS * 2**attempt)
-            if self.clock() + pause >= deadline:
-                break
+                return outcome
+            pause = self.rng.uniform(0, self.limits.retry_seconds)
             await asyncio.sleep(pause)
-            outcome = await self.attempt(request, deadline)
-        return outcome
+        return await self.attempt(request, deadline)
 
     async def attempt(
         self, request: Request, deadline: float
@@ -125,10 +142,17 @@
             return StoreUnavailable(False, "too many requests to the store")
         if wait > 0:
             await asyncio.sleep(wait)
-        async with self.slots:
+        try:
+            async with asyncio.timeout(max(0.0, deadline - self.clock())):
+                await self.slots.acquire()
+        except TimeoutError:
+            return StoreUnavailable(False, "too many requests under way")
+        try:
             if not self.breaker.allows(self.clock()):
                 return StoreUnavailable(False, "the store has been failing")
             return await self.judged(session, request, deadline)
+        finally:
+            self.slots.release()
 
     async def judged(
         self,
@@ -199,3 +223,15 @@
             if len(chunks) > self.limits.max_body_bytes:
                 raise aiohttp.ClientPayloadError("the answer is too large")
         return bytes(chunks)
+
+
+async def first_answer(
+    *attempts: "asyncio.Task[Answer | StoreUnavailable]",
+) -> Answer | StoreUnavailable:
+    """Return the first answer of some attempts, or the last failure."""
+    outcome: Answer | StoreUnavailable = StoreUnavailable()
+    for attempt in asyncio.as_completed(attempts):
+        outcome = await attempt
+        if isinstance(outcome, Answer):
+            break
+    return outcome
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/client.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/client.py
@@ -272,11 +272,9 @@
     return Conflict(tuple(rows))
 
 
-def object_names(body: Any) -> tuple[str, ...]:
+def object_names(body: dict[str, Any]) -> tuple[str, ...]:
     """Return the names in a list of objects."""
-    items = body["objects"] if isinstance(body, dict) else body
-    names = (i["name"] if isinstance(i, dict) else i for i in items)
-    return tuple(str(name) for name in names)
+    return tuple(str(name) for name in body["names"])
 
 
 def vm_list(body: dict[str, Any]) -> tuple[Vm, ...]:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/limits.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/limits.py
@@ -15,15 +15,17 @@
       per_second: Requests per second in the long run.
       burst: Requests that may be sent at once.
       concurrency: Requests that may be under way at once.
-      read_attempts: How often a read is sent within its time.
+      hedge_seconds: After which time without an answer a read is sent again.
+      retry_seconds: The longest pause before a read that failed is sent again.
       max_body_bytes: The largest answer that is read.
     """
 
-    read_seconds: float = 1.0
+    read_seconds: float = 2.0
     write_seconds: float = 2.0
     object_seconds: float = 10.0
     per_second: float = 50.0
     burst: float = 50.0
     concurrency: int = 16
-    read_attempts: int = 2
+    hedge_seconds: float = 0.7
+    retry_seconds: float = 0.1
     max_body_bytes: int = 64 * 1024 * 1024
