Bound reads by marks and connections by seats

Cause: a session's last read has no position in its answer, and the writers of a group's row change while proxies have applied different versions.

Change: a read leaves a mark that later probes bound; connection shares are bound to seats that pass on only when freed; a connection set gives each connection one owner at a time.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/__init__.py
@@ -4,6 +4,10 @@
     LINGER_SECONDS,
     BudgetLedger,
 )
+from jackdawcrank_policy.budget.connection_set import (
+    ConnectionSet,
+    ConnectionState,
+)
 from jackdawcrank_policy.budget.seats import (
     SEATS,
     departed,
@@ -16,6 +20,8 @@
     "LINGER_SECONDS",
     "SEATS",
     "BudgetLedger",
+    "ConnectionSet",
+    "ConnectionState",
     "departed",
     "plan_seats",
     "seat_share",
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/budget_ledger.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/budget_ledger.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from jackdawcrank_policy.budget.seats import SEATS, seat_share
+from jackdawcrank_policy.budget.seats import SEATS, departed, seat_share
 
 LINGER_SECONDS = 10.0
 
@@ -12,17 +12,16 @@
     """The seats of a group as one VM has applied them.
 
     A VM uses the share of the seat that the newest row it has applied gives
-    it, and none if it has none. It releases a lost seat by closing its
-    connections first and saying so afterwards, with the row's version.
+    it, and none if it has none. A process that has just begun uses none for
+    a while, since one that ran before it under the VM's name may have left
+    connections behind.
 
     Attributes:
       limit: Connections that the whole group accepts.
-      started_at: When this process began, whose predecessor under the same
-        name may have left connections behind.
+      started_at: When this process began.
       linger: Seconds for which a dead process's connections may stay open.
       version: The change log's version of the newest row applied.
       writers: That row's writers, by seat.
-      inherited: Whether the first row applied named this VM already.
     """
 
     limit: int
@@ -30,7 +29,6 @@
     linger: float = LINGER_SECONDS
     version: int = -1
     writers: tuple[str, ...] = ()
-    inherited: frozenset[str] = frozenset()
 
     def apply(self, writers: tuple[str, ...], version: int, now: float) -> None:
         """Take over a row; one older than the newest is ignored.
@@ -42,8 +40,6 @@
         """
         if version <= self.version:
             return
-        if self.version < 0 and now < self.started_at + self.linger:
-            self.inherited = frozenset(writers)
         self.version = version
         self.writers = writers
 
@@ -66,10 +62,24 @@
         """
         return self.part(vm, self.limit // max(1, servers), now)
 
+    def may_release(self, vm: str, now: float) -> bool:
+        """Return whether a VM may give up its seat in the applied row.
+
+        The VM closes its connections first, then tells the coordinator,
+        with `version`.
+
+        Args:
+          vm: The VM's name.
+          now: The current time.
+        """
+        return self.settled(now) and vm in departed(self.writers)
+
     def part(self, vm: str, limit: int, now: float) -> int:
         """Return a VM's part of some connections."""
-        if vm not in self.writers[:SEATS]:
-            return 0
-        if vm in self.inherited and now < self.started_at + self.linger:
+        if not self.settled(now) or vm not in self.writers[:SEATS]:
             return 0
         return seat_share(limit, self.writers.index(vm))
+
+    def settled(self, now: float) -> bool:
+        """Return whether connections of an earlier process have run out."""
+        return now >= self.started_at + self.linger
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/connection_set.py
@@ -0,0 +1,174 @@
+"""The connections of one proxy to one backend server."""
+
+import enum
+
+import attrs
+
+
+class ConnectionState(enum.StrEnum):
+    """What a connection is used for."""
+
+    OPENING = "opening"
+    IDLE = "idle"
+    BUSY = "busy"
+    RESETTING = "resetting"
+    CLOSING = "closing"
+
+
+@attrs.define
+class Connection:
+    """One connection.
+
+    Attributes:
+      state: What it is used for.
+      owner: The transaction that has it while it is busy.
+    """
+
+    state: ConnectionState = ConnectionState.OPENING
+    owner: int | None = None
+
+
+@attrs.define
+class ConnectionSet:
+    """Decides which connections to open, use, reset and close.
+
+    A connection has one owner at a time and is reset between owners. One
+    that timed out, broke or gave an unexpected answer is closed and never
+    used again. It counts until it is closed, so the share is never passed.
+
+    Attributes:
+      share: How many connections may be open.
+      warm: Idle connections to keep ahead of need.
+      connections: The open connections by number.
+      last_number: The number of the newest connection.
+    """
+
+    share: int
+    warm: int = 2
+    connections: dict[int, Connection] = attrs.Factory(dict)
+    last_number: int = 0
+
+    def count(self, state: ConnectionState) -> int:
+        """Return how many connections are in a state."""
+        return sum(c.state is state for c in self.connections.values())
+
+    def to_open(self, waiting: int = 0) -> list[int]:
+        """Return the numbers of connections that have to be opened now.
+
+        Args:
+          waiting: Transactions that wait for a connection.
+        """
+        ready = sum(
+            self.count(state)
+            for state in (
+                ConnectionState.OPENING,
+                ConnectionState.IDLE,
+                ConnectionState.RESETTING,
+            )
+        )
+        missing = min(
+            waiting + self.warm - ready, self.share - len(self.connections)
+        )
+        return [self.open() for _ in range(missing)]
+
+    def open(self) -> int:
+        """Add a connection that is being opened; return its number."""
+        self.last_number += 1
+        self.connections[self.last_number] = Connection()
+        return self.last_number
+
+    def ready(self, number: int) -> bool:
+        """Make a connection idle that was opened or reset.
+
+        Args:
+          number: The connection's number.
+
+        Returns:
+          Whether it may be used; if not, it has to be closed.
+        """
+        connection = self.connections[number]
+        if connection.state is ConnectionState.CLOSING:
+            return False
+        connection.state = ConnectionState.IDLE
+        connection.owner = None
+        return True
+
+    def take(self, owner: int) -> int | None:
+        """Give an idle connection to a transaction; None if there is none.
+
+        The one that was idle for the shortest time is taken, so that the
+        others can be closed when there are too many.
+
+        Args:
+          owner: The transaction's number.
+        """
+        for number, connection in reversed(self.connections.items()):
+            if connection.state is ConnectionState.IDLE:
+                connection.state = ConnectionState.BUSY
+                connection.owner = owner
+                return number
+        return None
+
+    def owns(self, number: int, owner: int) -> bool:
+        """Return whether an answer on a connection is for a transaction.
+
+        Args:
+          number: The connection on which the answer came.
+          owner: The transaction whose statement was sent.
+        """
+        connection = self.connections.get(number)
+        if connection is None or connection.state is not ConnectionState.BUSY:
+            return False
+        return connection.owner == owner
+
+    def give_back(self, number: int, owner: int, clean: bool) -> bool:
+        """End a transaction's use of a connection.
+
+        Args:
+          number: The connection's number.
+          owner: The transaction's number.
+          clean: Whether every statement was answered as expected.
+
+        Returns:
+          Whether to reset it and then call `ready`; if not, it has to be
+          closed.
+        """
+        if not self.owns(number, owner):
+            return False
+        if not clean or self.excess() > 0:
+            self.doubt(number)
+            return False
+        self.connections[number].state = ConnectionState.RESETTING
+        return True
+
+    def excess(self) -> int:
+        """Return how many connections above the share are not closing."""
+        closing = self.count(ConnectionState.CLOSING)
+        return len(self.connections) - closing - self.share
+
+    def doubt(self, number: int) -> None:
+        """Mark a connection that has to be closed."""
+        self.connections[number].state = ConnectionState.CLOSING
+
+    def closed(self, number: int) -> None:
+        """Drop a connection that is closed."""
+        self.connections.pop(number, None)
+
+    def set_share(self, share: int) -> list[int]:
+        """Follow a new share; return the idle connections to close.
+
+        Busy ones above the share are closed when they are given back.
+
+        Args:
+          share: How many connections may be open.
+        """
+        self.share = share
+        idle = [
+            number
+            for number, connection in self.connections.items()
+            if connection.state is ConnectionState.IDLE
+        ]
+        surplus = idle[: max(0, self.excess())]
+        for number in surplus:
+            self.doubt(number)
+        return surplus
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/evidence.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/evidence.py
@@ -93,11 +93,13 @@
         if not self.branch.keeps(report.position):
             self.servers.pop(server, None)
             return
-        self.record(report, sent_at)
+        self.record(report, sent_at, answered_at)
         if self.leads(report):
             self.primary.add(sent_at, report.position)
 
-    def record(self, report: ServerReport, sent_at: float) -> None:
+    def record(
+        self, report: ServerReport, sent_at: float, answered_at: float
+    ) -> None:
         """Store a report of a server that is on the branch.
 
         A report from a later fence term proves a position, but bounds no
@@ -105,10 +107,12 @@
         """
         known = self.servers.get(report.server)
         if known is None:
-            known = ServerEvidence(report.position, report.term, sent_at)
+            known = ServerEvidence(
+                report.position, report.term, sent_at, answered_at
+            )
             self.servers[report.server] = known
         else:
-            known.update(report.position, report.term, sent_at)
+            known.update(report.position, report.term, sent_at, answered_at)
         if report.term == self.branch.term:
             known.remember()
 
@@ -192,7 +196,7 @@
             return 0.0
         if known.rate <= 0:
             return None
-        return max(0.0, missing / known.rate - (now - known.sent_at))
+        return max(0.0, missing / known.rate - (now - known.answered_at))
 
     def bound_after(self, server: str, instant: float) -> Position | None:
         """Return a bound of what a read that ended at an instant has seen.
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/server_evidence.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/server_evidence.py
@@ -16,6 +16,7 @@
       position: The position that the newest probe showed.
       term: The fence term that the newest probe showed.
       sent_at: When that probe was sent.
+      answered_at: When its answer came.
       rate: Log entries applied per second, smoothed; 0 if not known.
       history: Earlier probes' send times and positions, oldest first.
     """
@@ -23,16 +24,24 @@
     position: Position
     term: int
     sent_at: float
+    answered_at: float
     rate: float = 0.0
     history: list[tuple[float, Position]] = attrs.Factory(list)
 
-    def update(self, position: Position, term: int, sent_at: float) -> None:
+    def update(
+        self,
+        position: Position,
+        term: int,
+        sent_at: float,
+        answered_at: float,
+    ) -> None:
         """Take in a probe that was sent later than every one before.
 
         Args:
           position: The position that the server reported.
           term: The fence term that it reported.
           sent_at: When the probe was sent.
+          answered_at: When its answer came.
         """
         applied = position.offset - self.position.offset
         rate = max(applied, 0) / (sent_at - self.sent_at)
@@ -40,6 +49,7 @@
         self.position = position
         self.term = term
         self.sent_at = sent_at
+        self.answered_at = answered_at
 
     def remember(self) -> None:
         """Add the newest probe to the history."""
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/__init__.py
@@ -10,6 +10,7 @@
 )
 from jackdawcrank_policy.routing.choose_read import choose_read
 from jackdawcrank_policy.routing.read_hold import ReadHold
+from jackdawcrank_policy.routing.read_mark import ReadMark
 from jackdawcrank_policy.routing.read_request import ReadRequest
 from jackdawcrank_policy.routing.routing_table import RoutingTable
 from jackdawcrank_policy.routing.server_load import ServerLoad
@@ -19,6 +20,7 @@
     "Candidate",
     "ReadChoice",
     "ReadHold",
+    "ReadMark",
     "ReadRequest",
     "Refuse",
     "RoutingTable",
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choices.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choices.py
@@ -19,6 +19,19 @@
     server: str
     complete_as_of: float | None = None
 
+    def fresh_at(self, answered_at: float, max_age_ms: int | None) -> bool:
+        """Return whether an answer is within the stated age.
+
+        Args:
+          answered_at: When the answer came.
+          max_age_ms: The stated age in milliseconds, if any.
+        """
+        if max_age_ms is None:
+            return True
+        if self.complete_as_of is None:
+            return False
+        return answered_at - self.complete_as_of <= max_age_ms / 1000
+
 
 @attrs.frozen
 class WaitForReplica:
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choose_read.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choose_read.py
@@ -45,25 +45,22 @@
         return to_primary(primary)
     replicas = [c for c in candidates if c.usable() and not c.primary]
     fresh = [c for c in replicas if c.fresh_enough(request.max_age_ms, now)]
-    ready = [c for c in fresh if holds(c, request, branch)]
+    ready = [c for c in fresh if covers(c, request, branch)]
     if ready:
         return pick(ready, request, rng)
-    return wait_or_primary(request, fresh, primary, branch, now)
+    return wait_or_primary(request, fresh, primary, now)
 
 
 def refuse_lost(request: ReadRequest, branch: Branch) -> Refuse | None:
     """Return the refusal of a read that no server can answer truly."""
-    hold = request.hold
-    if hold is not None and hold.lost:
+    if request.hold is not None and request.hold.lost:
         return lost("the session may have read entries that were lost")
-    bounds = [request.token_position, hold.bound if hold else None]
-    for position in bounds:
-        if position is None or branch.keeps(position):
-            continue
-        if position.term > branch.term:
-            return behind(position)
-        return lost(f"position {position} was lost in a change of primary")
-    return None
+    position = request.lost_bound(branch)
+    if position is None:
+        return None
+    if position.term > branch.term:
+        return behind(position)
+    return lost(f"position {position} was lost in a change of primary")
 
 
 def lost(detail: str) -> Refuse:
@@ -91,14 +88,14 @@
     return Refuse(NotRun(NotRunReason.NO_PRIMARY, detail, RETRY_AFTER_TERM_MS))
 
 
-def holds(candidate: Candidate, request: ReadRequest, branch: Branch) -> bool:
+def covers(candidate: Candidate, request: ReadRequest, branch: Branch) -> bool:
     """Return whether a replica covers all that the session has seen."""
-    if not candidate.reached(request.token_position, branch):
+    if request.pinned_elsewhere(candidate.server):
         return False
     hold = request.hold
-    if hold is None or hold.server == candidate.server:
-        return True
-    return hold.bound is not None and candidate.reached(hold.bound, branch)
+    if hold is not None and hold.server == candidate.server:
+        return candidate.reached(request.token_position, branch)
+    return candidate.reached(request.target(), branch)
 
 
 def pick(
@@ -121,16 +118,10 @@
     request: ReadRequest,
     fresh: Sequence[Candidate],
     primary: Candidate | None,
-    branch: Branch,
     now: float,
 ) -> ReadChoice:
     """Return a wait that beats the primary, else the primary."""
-    waits = [
-        c
-        for c in fresh
-        if c.catch_up is not None
-        and not c.reached(request.token_position, branch)
-    ]
+    waits = [c for c in fresh if may_wait_for(c, request)]
     if not waits:
         return to_primary(primary)
     best = min(waits, key=answer_time)
@@ -144,6 +135,13 @@
     return WaitForReplica(best.server, until)
 
 
+def may_wait_for(candidate: Candidate, request: ReadRequest) -> bool:
+    """Return whether a replica should reach the session's target."""
+    if not request.may_wait or request.pinned_elsewhere(candidate.server):
+        return False
+    return candidate.catch_up is not None
+
+
 def answer_time(candidate: Candidate) -> float:
     """Return the seconds to an answer with the wait for the token."""
     return (candidate.catch_up or 0.0) + candidate.expected
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/read_request.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/read_request.py
@@ -3,7 +3,7 @@
 import attrs
 
 from jackdawcrank_policy.routing.read_hold import ReadHold
-from jackdawcrank_policy.values import Position
+from jackdawcrank_policy.values import Branch, Position
 
 
 @attrs.frozen
@@ -17,6 +17,7 @@
       max_age_ms: The stated age in milliseconds, the group's default applied
         already; None if neither states one.
       hold: What the session's last read asks, if there was one.
+      may_wait: Whether the read may wait for a replica; False once it has.
     """
 
     group: str
@@ -24,3 +25,34 @@
     token_position: Position | None = None
     max_age_ms: int | None = None
     hold: ReadHold | None = None
+    may_wait: bool = True
+
+    def bounds(self) -> list[Position]:
+        """Return the positions that an answer has to cover."""
+        hold_bound = self.hold.bound if self.hold else None
+        both = (self.token_position, hold_bound)
+        return [position for position in both if position is not None]
+
+    def target(self) -> Position | None:
+        """Return the position that covers all bounds on one branch."""
+        return max(self.bounds(), key=lambda p: p.offset, default=None)
+
+    def lost_bound(self, branch: Branch) -> Position | None:
+        """Return a bound that is not on the branch, if there is one.
+
+        Args:
+          branch: The group's branch.
+        """
+        off_branch = (p for p in self.bounds() if not branch.keeps(p))
+        return next(off_branch, None)
+
+    def pinned_elsewhere(self, server: str) -> bool:
+        """Return whether the last read rules a replica out for now.
+
+        Args:
+          server: The replica's name.
+        """
+        hold = self.hold
+        if hold is None or hold.bound is not None:
+            return False
+        return hold.server != server
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/routing_table.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/routing_table.py
@@ -79,11 +79,11 @@
     def catch_up(
         self, name: str, request: ReadRequest, now: float
     ) -> float | None:
-        """Return the seconds until a server should reach the token."""
-        token = request.token_position
-        if token is None:
+        """Return the seconds until a server should reach the target."""
+        target = request.target()
+        if target is None:
             return None
-        return self.evidence.catch_up_seconds(name, token, now)
+        return self.evidence.catch_up_seconds(name, target, now)
 
     def choose(
         self, request: ReadRequest, now: float, rng: random.Random
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/limits/test_caller_limits.py
@@ -0,0 +1,57 @@
+"""Tests of the limits of single callers."""
+
+import pytest
+
+from jackdawcrank_policy.limits import CallerLimits
+from jackdawcrank_policy.values import CallerClassSpec, NotRun, NotRunReason
+
+SPEC = CallerClassSpec("audit", max_concurrent=2, rate_per_second=10, burst=3)
+
+
+@pytest.fixture
+def limits() -> CallerLimits:
+    return CallerLimits(SPEC, max_callers=2)
+
+
+def run(limits: CallerLimits, caller: str, now: float) -> NotRun | None:
+    refusal = limits.offer(caller, now)
+    if refusal is None:
+        limits.finish(caller)
+    return refusal
+
+
+def test_the_rate_is_bounded_and_the_hint_is_exact(
+    limits: CallerLimits,
+) -> None:
+    assert [run(limits, "a", 0.0) for _ in range(3)] == [None] * 3
+    refusal = run(limits, "a", 0.0)
+    assert refusal is not None
+    assert refusal.reason is NotRunReason.LIMITED
+    assert refusal.retry_after_ms == 100
+    assert run(limits, "b", 0.0) is None
+    assert run(limits, "a", 0.101) is None
+
+
+def test_concurrency_is_bounded(limits: CallerLimits) -> None:
+    assert limits.offer("a", 0.0) is None
+    assert limits.offer("a", 0.0) is None
+    assert limits.offer("a", 0.0) is not None
+    limits.finish("a")
+    assert limits.offer("a", 0.0) is None
+
+
+def test_memory_is_bounded_without_giving_more(limits: CallerLimits) -> None:
+    assert [run(limits, "a", 0.0) for _ in range(3)] == [None] * 3
+    assert run(limits, "b", 0.0) is None
+    assert run(limits, "c", 0.0) is not None
+    assert len(limits.callers) == 2
+    assert run(limits, "c", 0.2) is None
+    assert set(limits.callers) == {"a", "c"}
+    assert run(limits, "a", 0.2) is None
+    assert run(limits, "a", 0.2) is None
+    assert run(limits, "a", 0.2) is not None
+
+
+def test_no_rate_means_no_rate_limit() -> None:
+    limits = CallerLimits(CallerClassSpec("default", burst=1))
+    assert all(run(limits, "a", 0.0) is None for _ in range(100))
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/retry/test_retry_budget.py
@@ -0,0 +1,36 @@
+"""Tests of the bound on retries and of their delays."""
+
+import random
+
+import hypothesis
+import hypothesis.strategies as st
+
+from jackdawcrank_policy.retry import RetryBudget, backoff_seconds
+
+
+@hypothesis.given(steps=st.lists(st.booleans(), max_size=500))
+def test_retries_stay_a_fraction_of_attempts(steps: list[bool]) -> None:
+    budget = RetryBudget(fraction=0.1)
+    attempts = retries = 0
+    for is_attempt in steps:
+        if is_attempt:
+            attempts += 1
+            budget.attempt()
+        else:
+            retries += budget.take()
+        assert retries <= 0.1 * attempts + 1e-6
+
+
+def test_saved_retries_are_bounded() -> None:
+    budget = RetryBudget()
+    for _ in range(10_000):
+        budget.attempt()
+    assert sum(budget.take() for _ in range(100)) == 10
+
+
+def test_delays_spread_below_a_growing_cap() -> None:
+    rng = random.Random(1)
+    for attempt, cap in ((0, 0.01), (3, 0.08), (50, 1.0)):
+        delays = [backoff_seconds(attempt, rng) for _ in range(200)]
+        assert 0.9 * cap < max(delays) <= cap
+        assert min(delays) < 0.1 * cap
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/tokens/test_session_token.py
@@ -0,0 +1,56 @@
+"""Tests of what a token remembers."""
+
+import pytest
+
+from jackdawcrank_policy.tokens import MAX_GROUPS, SessionToken
+from jackdawcrank_policy.values import Branch, Position, TermStart
+
+BRANCH = Branch((TermStart(1, 0), TermStart(2, 50)))
+
+
+def token_at(term: int, offset: int) -> SessionToken:
+    return SessionToken().advanced("ledger", Position(term, offset), BRANCH)
+
+
+@pytest.mark.parametrize(
+    ("earlier", "later", "expected"),
+    [
+        (Position(1, 40), Position(1, 45), Position(1, 45)),
+        (Position(1, 45), Position(1, 40), Position(1, 45)),
+        (Position(1, 50), Position(2, 51), Position(2, 51)),
+        (Position(1, 60), Position(2, 90), Position(1, 60)),
+        (Position(2, 90), Position(1, 60), Position(1, 60)),
+    ],
+    ids=["newer", "older", "across terms", "lost stays", "lost replaces"],
+)
+def test_advanced_keeps_what_binds_the_session(
+    earlier: Position, later: Position, expected: Position
+) -> None:
+    token = token_at(earlier.term, earlier.offset)
+    token = token.advanced("ledger", later, BRANCH)
+    assert token.position("ledger") == expected
+
+
+def test_a_term_that_the_branch_does_not_know_is_refused() -> None:
+    with pytest.raises(ValueError, match="not on the branch"):
+        token_at(3, 99)
+
+
+def test_a_full_token_never_drops_an_entry() -> None:
+    token = SessionToken()
+    for number in range(MAX_GROUPS):
+        token = token.advanced(f"g{number}", Position(1, 1), BRANCH)
+    assert not token.has_room("another")
+    assert token.has_room("g0")
+    with pytest.raises(ValueError, match="no room"):
+        token.advanced("another", Position(1, 1), BRANCH)
+    assert len(token.seen) == MAX_GROUPS
+
+
+def test_only_a_position_that_every_server_has_is_settled() -> None:
+    token = token_at(1, 40)
+    assert token.settled("ledger", Position(1, 39), BRANCH) == token
+    settled = token.settled("ledger", Position(1, 40), BRANCH)
+    assert settled.position("ledger") is None
+    lost = token_at(1, 60)
+    assert lost.settled("ledger", Position(2, 99), BRANCH) == lost
