--- /dev/null
+++ b/packages/jackdawcrank-proxy/tests/membership/test_tracker.py
@@ -0,0 +1,155 @@
+"""Tests of what a VM reads and writes to know the others."""
+
+import random
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import pytest
+
+from jackdawcrank.membership import MembershipTracker
+from jackdawcrank.membership.intervals import (
+    LEASE_SECONDS,
+    list_interval_seconds,
+)
+from jackdawcrank.store import StoreClient, StoreLimits
+from jackdawcrank.timer import ManualTimer
+from jackdawcrank_policy.membership import MembershipView
+from jackdawcrank_policy.values import Vm, VmState
+from jackdawcrank_standins.platform import Platform, StopMode
+
+NewTracker = Callable[[str], MembershipTracker]
+
+
+def vm(name: str, state: VmState = VmState.LIVE) -> Vm:
+    return Vm(name, "127.0.0.1", 1, 2, "r", "d", state)
+
+
+@pytest.fixture
+async def platform() -> AsyncIterator[Platform]:
+    platform = Platform()
+    await platform.start()
+    for name in ("vm-1", "vm-2"):
+        platform.list_vm(vm(name))
+    yield platform
+    await platform.close()
+
+
+@pytest.fixture
+async def client(platform: Platform) -> AsyncIterator[StoreClient]:
+    limits = StoreLimits(per_second=1e6, burst=1e6, retry_seconds=0.0)
+    client = StoreClient(platform.url, rng=random.Random(1), limits=limits)
+    await client.start()
+    yield client
+    await client.close()
+
+
+@pytest.fixture
+def timer() -> ManualTimer:
+    return ManualTimer(100.0)
+
+
+@pytest.fixture
+def new_tracker(client: StoreClient, timer: ManualTimer) -> NewTracker:
+    def new_tracker(name: str) -> MembershipTracker:
+        return MembershipTracker(
+            client, timer, vm(name), f"boot-{name}", rng=random.Random(name)
+        )
+
+    return new_tracker
+
+
+async def test_vms_see_each_other(
+    new_tracker: NewTracker, timer: ManualTimer
+) -> None:
+    one, two = new_tracker("vm-1"), new_tracker("vm-2")
+    await one.start()
+    await two.start()
+    await timer.advance(60.0)
+    assert one.view.live == two.view.live == ("vm-1", "vm-2")
+
+
+async def test_a_listed_vm_that_died_is_left_out(
+    new_tracker: NewTracker, timer: ManualTimer
+) -> None:
+    one, two = new_tracker("vm-1"), new_tracker("vm-2")
+    await one.start()
+    await two.start()
+    await timer.advance(12.0)
+    for subscription in two.subscriptions:
+        subscription.close()
+    await timer.advance(LEASE_SECONDS + 25.0)
+    assert one.view.live == ("vm-1",)
+
+
+async def test_failing_streams_bring_the_row_into_view(
+    new_tracker: NewTracker, timer: ManualTimer
+) -> None:
+    one, two = new_tracker("vm-1"), new_tracker("vm-2")
+    await one.start()
+    await two.start()
+    one.stream_failed("vm-2")
+    views: list[MembershipView] = []
+    one.on_view = views.append
+    await timer.advance(60.0)
+    assert one.view.live == ("vm-1", "vm-2")
+    assert len(views) <= 2
+
+
+async def test_an_unlisted_vm_that_renews_is_taken_in(
+    new_tracker: NewTracker, timer: ManualTimer
+) -> None:
+    one, three = new_tracker("vm-1"), new_tracker("vm-3")
+    await one.start()
+    await three.start()
+    await timer.advance(30.0)
+    assert "vm-3" in one.view.live
+    assert one.view.vms["vm-3"] == vm("vm-3")
+
+
+async def test_leaving_is_told_and_the_row_is_removed(
+    new_tracker: NewTracker, timer: ManualTimer, client: StoreClient
+) -> None:
+    one, two = new_tracker("vm-1"), new_tracker("vm-2")
+    await one.start()
+    await two.start()
+    await two.leave()
+    assert two.view.live == ("vm-1",)
+    await timer.advance(15.0)
+    assert one.view.live == ("vm-1",)
+    assert one.view.leaving == ("vm-2",)
+    await two.close()
+    page = await client.scan("vms")
+    assert [row.key for row in page.rows] == ["vm-1"]  # type: ignore[union-attr]
+
+
+async def test_a_store_outage_removes_nobody(
+    new_tracker: NewTracker, timer: ManualTimer, platform: Platform
+) -> None:
+    one, two = new_tracker("vm-1"), new_tracker("vm-2")
+    await one.start()
+    await two.start()
+    await timer.advance(20.0)
+    platform.faults.stop(StopMode.REFUSE)
+    await timer.advance(300.0)
+    assert one.view.live == ("vm-1", "vm-2")
+    platform.faults.start()
+    one.store.channel.breaker.succeeded()
+    seen: list[Any] = []
+    one.on_view = seen.append
+    await timer.advance(60.0)
+    assert seen == []
+
+
+async def test_the_cost_is_bounded_by_intervals(
+    new_tracker: NewTracker, timer: ManualTimer, client: StoreClient
+) -> None:
+    one = new_tracker("vm-1")
+    await one.start()
+    before = client.traffic.requests
+    await timer.advance(100.0)
+    assert 35 <= client.traffic.requests - before <= 45
+
+
+def test_a_longer_list_is_read_less_often() -> None:
+    assert list_interval_seconds(21) == 10.0
+    assert list_interval_seconds(700) == 210.0
