Make the backend stand-in answer stock drivers in full

Names were quoted so that SQLite took unknown ones for text, nested functions were left untranslated, binary literals did not decode, a wrong database was refused after the login.

--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/catalog.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/catalog.py
@@ -6,6 +6,7 @@
 import attrs
 
 from jackdawcrank_standins.backend.columns import ColumnKind, declared_kind
+from jackdawcrank_standins.backend.sqlite_dialect import quote
 
 
 @attrs.frozen
@@ -44,10 +45,9 @@
 
     def read(self, name: str) -> TableInfo | None:
         """Read a table's columns."""
-        quoted = name.replace('"', '""')
         rows = (
             self.connection()
-            .execute(f'PRAGMA table_info("{quoted}")')
+            .execute(f"PRAGMA table_info({quote(name)})")
             .fetchall()
         )
         if not rows:
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/compiled.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/compiled.py
@@ -31,6 +31,7 @@
       explicit_ids: Whether the statement names that column itself.
       insert_only_sql: For a one-row INSERT with ON DUPLICATE KEY UPDATE, the
         same insert that does nothing for a duplicate.
+      insert_only_parameters: How many of the parameters that insert has.
     """
 
     kind: StatementKind
@@ -40,3 +41,4 @@
     generates_ids: bool = False
     explicit_ids: bool = False
     insert_only_sql: str | None = None
+    insert_only_parameters: int = 0
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/connection.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/connection.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 import struct
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from mysql_mimic import packets, types
 from mysql_mimic.charset import CharacterSet
@@ -35,6 +35,8 @@
     from jackdawcrank_standins.backend.server import BackendServer
 
 ROW_BATCH = 5000
+NO_ATTRIBUTES = b"\x00\x01"
+LOGIN_SECONDS = 10.0
 DEFINITIONS_CACHED = 4096
 CLOSING_ERRORS = (
     ConnectionClosed,
@@ -82,6 +84,7 @@
       server: The server that it belongs to.
       session: The session that runs its statements.
       silent: Whether nothing passes between the two ends any more.
+      forgotten: Set once the server has given a silent connection up.
     """
 
     server_charset = CharacterSet.utf8mb4
@@ -94,6 +97,7 @@
         self.server = server
         self.session = session
         self.silent = False
+        self.forgotten = asyncio.Event()
         self.connection_id = session.connection_id
 
     async def serve(self) -> None:
@@ -111,9 +115,26 @@
             return
         finally:
             if self.silent:
-                await asyncio.sleep(self.server.idle_seconds)
+                await self.forgotten.wait()
             self.session.close()
 
+    def silence(self) -> None:
+        """Let nothing pass between the two ends any more.
+
+        Neither end learns of it; this one gives the connection up after it
+        was idle for long enough, and the socket stays open.
+        """
+        self.silent = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.server.idle_seconds, self.forget)
+
+    def forget(self) -> None:
+        """Give a silent connection up."""
+        self.forgotten.set()
+        if not self.stream.writer.transport.is_closing():
+            self.stream.writer.transport.pause_reading()
+        self.stream.reader.feed_eof()
+
     async def handshake(self) -> None:
         """Let the client log in.
 
@@ -121,19 +142,28 @@
           ConnectionClosed: It did not give a valid name and password.
         """
         self.set_status()
-        await self.connection_phase()
+        try:
+            async with asyncio.timeout(LOGIN_SECONDS):
+                await self.connection_phase()
+        except Exception as error:
+            # A client that does not speak the protocol is cut off.
+            raise ConnectionClosed from error
         if self.session.username is None:
             raise ConnectionClosed
+
+    async def authenticate(self, **arguments: Any) -> None:
+        """Check a login, and that its database is here."""
         try:
             await self.session.use(self.session.database or "")
         except Failure as failure:
             await self.write_packets([self.error_packet(failure)])
-            raise ConnectionClosed from failure
+        else:
+            await super().authenticate(**arguments)
 
     async def pass_network(self) -> None:
         """Wait while the network or the process holds packets back."""
         if self.silent:
-            await asyncio.sleep(self.server.idle_seconds)
+            await self.forgotten.wait()
             raise ConnectionClosed
         if self.server.network.blocked:
             await self.server.network.wait()
@@ -157,12 +187,28 @@
 
     async def handle_query(self, data: bytes) -> None:
         """Run COM_QUERY."""
+        sql = self.query_text(data)
+        await self.write_answer(await self.session.run(sql), False)
+
+    def query_text(self, data: bytes) -> str:
+        """Return the statement of a COM_QUERY.
+
+        Bytes that are no UTF-8, as in binary literals, become surrogates.
+        """
+        if Capabilities.CLIENT_QUERY_ATTRIBUTES in self.capabilities:
+            if data[:2] != NO_ATTRIBUTES:
+                return self.text_after_attributes(data)
+            data = data[2:]
+        return data.decode(errors="surrogateescape")
+
+    def text_after_attributes(self, data: bytes) -> str:
+        """Return the statement of a COM_QUERY with query attributes."""
         query = packets.parse_com_query(
             capabilities=self.capabilities,
             client_charset=self.client_charset,
             data=data,
         )
-        await self.write_answer(await self.session.run(query.sql), False)
+        return str(query.sql)
 
     async def handle_ping(self, data: bytes) -> None:
         """Run COM_PING."""
@@ -188,7 +234,7 @@
             client_charset=self.client_charset,
             data=data,
         )
-        await self.session.use(request.database)
+        self.session.database = request.database
         await self.authenticate(
             username=request.username,
             auth_response=request.auth_response,
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/database.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/database.py
@@ -149,7 +149,7 @@
             cursor = connection.execute(compiled.sql[0], values)
             rows = cursor.fetchall()
         except sqlite3.Error as error:
-            raise from_sqlite(error) from error
+            raise from_sqlite(error, self.name) from error
         names = tuple(item[0] for item in cursor.description or ())
         return RowsRead(names, rows)
 
@@ -176,7 +176,7 @@
         try:
             return self.run_write(compiled, values, context)
         except sqlite3.Error as error:
-            raise from_sqlite(error) from error
+            raise from_sqlite(error, self.name) from error
 
     def run_write(
         self,
@@ -209,9 +209,10 @@
         logged: list[LoggedStatement] = []
         if compiled.insert_only_sql is not None:
             sql = compiled.insert_only_sql
-            cursor = self.run(sql, values, context)
+            used = values[: compiled.insert_only_parameters]
+            cursor = self.run(sql, used, context)
             # Logged also if it inserted nothing: it may have taken a number.
-            logged.append(LoggedStatement(sql, values, context))
+            logged.append(LoggedStatement(sql, used, context))
             if cursor.rowcount > 0:
                 return self.result(compiled, cursor, tuple(logged), context)
         rows = 0
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/errors.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/errors.py
@@ -66,7 +66,8 @@
       regex: Matches SQLite's message.
       code: The MySQL error code.
       sqlstate: The SQLSTATE.
-      template: The MySQL message; `{0}` is the first group of the match.
+      template: The MySQL message; `{0}` is the first group of the
+        match and `{1}` the database's name.
     """
 
     regex: re.Pattern[str]
@@ -109,7 +110,7 @@
         r"no such table: (?:main\.)?(\S+)",
         1146,
         "42S02",
-        "Table '{0}' doesn't exist",
+        "Table '{1}.{0}' doesn't exist",
     ),
     pattern(
         r"no such column: (\S+)",
@@ -168,12 +169,17 @@
 )
 
 
-def from_sqlite(error: sqlite3.Error) -> Failure:
-    """Return the MySQL error that stands for an error of SQLite."""
+def from_sqlite(error: sqlite3.Error, database: str) -> Failure:
+    """Return the MySQL error that stands for an error of SQLite.
+
+    Args:
+      error: SQLite's error.
+      database: The name of the database that the statement ran in.
+    """
     text = str(error)
     for candidate in PATTERNS:
         match = candidate.regex.search(text)
         if match:
-            message = candidate.template.format(match[1] or "")
+            message = candidate.template.format(match[1] or "", database)
             return Failure(candidate.code, candidate.sqlstate, message)
     return unknown_error(text)
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/expressions.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/expressions.py
@@ -13,6 +13,7 @@
     "UNIX_TIMESTAMP": "unix_timestamp",
     "LAST_INSERT_ID": "last_insert_id",
     "CONNECTION_ID": "connection_id",
+    "FIELD": "field",
 }
 WITH_ARGUMENT = {
     "UNIX_TIMESTAMP": "unix_timestamp_of",
@@ -62,7 +63,7 @@
     if node.expressions and name in WITH_ARGUMENT:
         return call(WITH_ARGUMENT[name], *node.expressions)
     if name in RENAMED:
-        return call(RENAMED[name])
+        return call(RENAMED[name], *node.expressions)
     return node
 
 
@@ -153,6 +154,23 @@
     return call("date_format", node.this, pattern)
 
 
+@rewrite.register
+def _(node: exp.StrToDate) -> exp.Expression:
+    pattern = exp.Literal.string(node.args["format"].name)
+    return call("str_to_date", node.this, pattern)
+
+
+@rewrite.register
+def _(node: exp.UnixToTime) -> exp.Expression:
+    return call("from_unixtime", node.this)
+
+
+@rewrite.register
+def _(node: exp.SubstringIndex) -> exp.Expression:
+    delimiter, count = node.args["delimiter"], node.args["count"]
+    return call("substring_index", node.this, delimiter, count)
+
+
 @rewrite.register(exp.TsOrDsToDate)
 @rewrite.register(exp.Date)
 def _(node: exp.Expression) -> exp.Expression:
@@ -236,6 +254,18 @@
     return call(name, node.this, *node.expressions)
 
 
+@rewrite.register
+def _(node: exp.Cast) -> exp.Expression:
+    parameters = node.to.expressions
+    if not parameters:
+        return node
+    if not node.is_type(exp.DType.DECIMAL):
+        return exp.cast(node.this, node.to.this)
+    scale = parameters[1].this if len(parameters) > 1 else exp.Literal.number(0)
+    value = exp.cast(node.this, exp.DType.DOUBLE)
+    return exp.Anonymous(this="round", expressions=[value, scale])
+
+
 @rewrite.register
 def _(node: exp.JSONExtract) -> exp.Expression:
     path = exp.Literal.string(str(node.expression.sql("mysql")).strip("'"))
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/functions.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/functions.py
@@ -99,30 +99,42 @@
     return int((second - first).total_seconds() / SECONDS_OF_UNIT[unit])
 
 
-FORMATS = {
-    "i": "%M",
-    "s": "%S",
-    "T": "%H:%M:%S",
-    "M": "%B",
-    "W": "%A",
-    "h": "%I",
-    "c": "%m",
-    "e": "%d",
-    "f": "%f",
-}
-
-
 def date_format(value: Any, pattern: str) -> str | None:
-    """Return a time in the form that a MySQL pattern describes."""
+    """Return a time in the form that a pattern of strftime describes."""
     time = parse_datetime(value)
-    if time is None:
+    return None if time is None else time.strftime(pattern)
+
+
+def parse_date(text: Any, pattern: str) -> str | None:
+    """Return the time that a text means by a pattern of strptime."""
+    try:
+        time = datetime.datetime.strptime(str(text), pattern)
+    except ValueError:
         return None
-    python_pattern = re.sub(
-        r"%(.)",
-        lambda match: FORMATS.get(match[1], match[0]),
-        pattern,
-    )
-    return time.strftime(python_pattern)
+    timed = any(code in pattern for code in ("%H", "%I", "%M", "%S"))
+    return format_datetime(time) if timed else time.strftime("%Y-%m-%d")
+
+
+def from_unixtime(seconds: Any) -> str | None:
+    """Return the time that is some seconds after the start of 1970."""
+    if seconds is None:
+        return None
+    start = datetime.datetime(1970, 1, 1)
+    return format_datetime(start + datetime.timedelta(seconds=seconds))
+
+
+def substring_index(text: Any, delimiter: Any, count: int) -> str | None:
+    """Return the text before a delimiter's occurrence, or after it."""
+    if text is None or delimiter is None:
+        return None
+    parts = text_of(text).split(text_of(delimiter))
+    kept = parts[:count] if count >= 0 else parts[count:]
+    return text_of(delimiter).join(kept)
+
+
+def field(value: Any, *choices: Any) -> int:
+    """Return the place of a value among choices, counted from 1; or 0."""
+    return choices.index(value) + 1 if value in choices else 0
 
 
 def time_part(name: str) -> Callable[[Any], int | None]:
@@ -274,6 +286,10 @@
     "md5": (1, digest("md5")),
     "sha1": (1, digest("sha1")),
     "truncate": (2, truncate),
+    "str_to_date": (2, parse_date),
+    "from_unixtime": (1, from_unixtime),
+    "substring_index": (3, substring_index),
+    "field": (-1, field),
     "div": (2, divide_whole),
     "least": (-1, least),
     "greatest": (-1, greatest),
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/literals.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/literals.py
@@ -6,12 +6,13 @@
 
 SCANNER = re.compile(
     r"""
-    (?P<raw>\b[xXbBnN]'[^']*'|\b_\w+\s*'[^']*'|`[^`]*`)
+    (?P<raw>\b[xXbBnN]'[^']*'|`[^`]*`)
+    |(?P<bytes>\b_binary\s*(?:'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*"))
     |(?P<comment>/\*.*?\*/|(?:--\s|\#)[^\n]*)
-    |(?P<string>'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*")
+    |(?P<string>(?:\b_utf8(?:mb4)?\s*)?(?:'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*"))
     |(?P<number>(?<![\w.$@])(?:\d+(?:\.\d*)?|\.\d+)(?:[eE][+-]?\d+)?(?!\w))
     """,
-    re.VERBOSE | re.DOTALL,
+    re.VERBOSE | re.DOTALL | re.IGNORECASE,
 )
 PLACEHOLDER = re.compile(
     r"""`[^`]*`|'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*\"|/\*.*?\*/"""
@@ -42,10 +43,27 @@
     return ESCAPED.get(match[1], match[1])
 
 
-def string_value(literal: str) -> str:
-    """Return the value of a quoted string literal."""
-    quote = literal[0]
-    body = literal[1:-1]
+def string_value(literal: str) -> str | bytes:
+    """Return the value of a quoted string literal.
+
+    Args:
+      literal: The literal, quotes included; bytes that are no UTF-8 stand in
+        it as lone surrogates.
+    """
+    text = unquoted(literal)
+    if text.isascii():
+        return text
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return text.encode(errors="surrogateescape")
+    return text
+
+
+def unquoted(literal: str) -> str:
+    """Return the text of a quoted string literal."""
+    quote = literal[-1]
+    body = literal[literal.index(quote) + 1 : -1]
     if quote in body:
         body = body.replace(quote * 2, quote)
     if "\\" in body:
@@ -73,6 +91,10 @@
         if kind == "string":
             values.append(string_value(match[0]))
             return "?"
+        if kind == "bytes":
+            text = unquoted(match[0])
+            values.append(text.encode(errors="surrogateescape"))
+            return "?"
         if kind == "number":
             values.append(number_value(match[0]))
             return "?"
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/schema_statements.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/schema_statements.py
@@ -3,7 +3,7 @@
 from sqlglot import exp
 
 from jackdawcrank_standins.backend.errors import Failure
-from jackdawcrank_standins.backend.expressions import rewrite
+from jackdawcrank_standins.backend.sqlite_dialect import quote, sqlite_sql
 
 UNSUPPORTED = Failure(
     1235, "42000", "This version of MySQL doesn't yet support this statement"
@@ -13,22 +13,11 @@
 CASE_SENSITIVE = ("bin", "_cs")
 
 
-def quote(name: str) -> str:
-    """Return a name as a quoted SQLite identifier."""
-    escaped = name.replace('"', '""')
-    return f'"{escaped}"'
-
-
 def index_name(table: str, name: str) -> str:
     """Return the name of a table's index; SQLite has one name space."""
     return f"{table}__{name}"
 
 
-def sqlite_sql(node: exp.Expression) -> str:
-    """Return the SQLite text of an expression in MySQL's form."""
-    return str(node.transform(rewrite).sql("sqlite"))
-
-
 def create_table(statement: exp.Create) -> tuple[str, ...]:
     """Return the SQLite statements for a CREATE TABLE."""
     schema = statement.this
@@ -183,21 +172,18 @@
     """Return the SQLite statements for a DROP."""
     guard = "IF EXISTS " if statement.args.get("exists") else ""
     kind = str(statement.args["kind"]).upper()
+    names = [dropped.name for dropped in statement.args["tables"]]
     if kind in ("TABLE", "VIEW"):
-        tables = [statement.this, *statement.expressions]
-        return tuple(
-            f"DROP {kind} {guard}{quote(table.name)}" for table in tables
-        )
-    if kind == "INDEX":
-        place = statement.args.get("cluster") or statement.args.get("on")
-        if place is None:
-            tables = list(statement.find_all(exp.Table))
-            place = tables[-1]
-        else:
-            place = place.find(exp.Table) or place.this
-        name = quote(index_name(place.name, statement.this.name))
-        return (f"DROP INDEX {guard}{name}",)
-    raise UNSUPPORTED
+        return tuple(f"DROP {kind} {guard}{quote(name)}" for name in names)
+    place = statement.args.get("cluster")
+    if kind != "INDEX" or place is None:
+        raise UNSUPPORTED
+    return drop_index(place.this.name, names[0])
+
+
+def drop_index(table: str, name: str) -> tuple[str, ...]:
+    """Return the SQLite statement that drops a table's index."""
+    return (f"DROP INDEX {quote(index_name(table, name))}",)
 
 
 def alter(statement: exp.Alter) -> tuple[str, ...]:
@@ -215,7 +201,10 @@
     if isinstance(action, exp.ColumnDef):
         return [f"{prefix} ADD COLUMN {column(action, None)}"]
     if isinstance(action, exp.Drop):
-        return [f"{prefix} DROP COLUMN {quote(action.this.name)}"]
+        name = action.args["tables"][0].name
+        if str(action.args["kind"]).upper() == "INDEX":
+            return list(drop_index(table, name))
+        return [f"{prefix} DROP COLUMN {quote(name)}"]
     if isinstance(action, exp.RenameColumn):
         old, new = action.this.name, action.args["to"].name
         return [f"{prefix} RENAME COLUMN {quote(old)} TO {quote(new)}"]
@@ -234,7 +223,7 @@
         return index(table, element)
     if isinstance(element, exp.UniqueColumnConstraint):
         listed = unique_columns(element)
-        own_name = listed.replace('"', "").replace(", ", "_")
+        own_name = element.this.name or listed.replace("`", "")
         name = quote(index_name(table, own_name))
         return f"CREATE UNIQUE INDEX {name} ON {quote(table)} ({listed})"
     raise UNSUPPORTED
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/server.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/server.py
@@ -47,7 +47,6 @@
 EXECUTED_LIMIT = 200_000
 DEFAULT_PASSWORDS = {"proxy": "proxy"}
 IDLE_SECONDS = 10.0
-LOGIN_SECONDS = 10.0
 
 PAUSED = "paused"
 PARTITIONED = "partitioned"
@@ -111,6 +110,7 @@
         self.write_lock = WriteLock()
         self.control = LocalControl()
         self.connections: dict[int, BackendConnection] = {}
+        self.silenced: list[BackendConnection] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.executed: collections.deque[ExecutedStatement] = collections.deque(
             maxlen=EXECUTED_LIMIT
@@ -182,7 +182,9 @@
             listener.close()
         await self.replication.close()
         tasks = list(self.tasks)
-        for connection in list(self.connections.values()):
+        cut = [*self.connections.values(), *self.silenced]
+        self.silenced.clear()
+        for connection in cut:
             connection.stream.writer.transport.abort()
         for task in tasks:
             task.cancel()
@@ -202,18 +204,19 @@
         assert task is not None
         self.tasks.add(task)
         try:
-            await self.serve(reader, writer)
+            silent = await self.serve(reader, writer)
         except asyncio.CancelledError:
             # The stop of the server ends its connections this way.
-            return
+            silent = False
         finally:
             self.tasks.discard(task)
+        if not silent:
             writer.close()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Log a client in and run its statements."""
+    ) -> bool:
+        """Run a client's statements; return whether it went silent."""
         self.connection_count += 1
         number = self.connection_count
         session = Session(self, number)
@@ -229,7 +232,7 @@
         if len(self.connections) >= self.connection_limit:
             refusal = connection.error_packet(TOO_MANY_CONNECTIONS)
             await connection.write_packets([refusal])
-            return
+            return False
         self.connections[number] = connection
         try:
             await asyncio.sleep(self.connect_seconds)
@@ -237,6 +240,7 @@
         finally:
             session.close()
             del self.connections[number]
+        return connection.silent
 
     def kill(self, number: int) -> None:
         """Cut a connection.
@@ -268,7 +272,8 @@
     def silence(self) -> None:
         """Make all open connections silent for good."""
         for connection in self.connections.values():
-            connection.silent = True
+            connection.silence()
+            self.silenced.append(connection)
 
     def note_broken(self, error: Exception) -> None:
         """Keep an unexpected error for tests to see."""
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/session.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/session.py
@@ -53,6 +53,10 @@
     r"\s*([\d.]+)\s*\)",
     re.IGNORECASE,
 )
+SLEEP = re.compile(
+    r"(?:\s|/\*.*?\*/)*SELECT\s+(?:/\*.*?\*/)?\s*SLEEP\s*\(\s*([\d.]+)\s*\)",
+    re.IGNORECASE | re.DOTALL,
+)
 ASSIGNMENT = re.compile(
     r"\s*(?:(GLOBAL|SESSION|LOCAL|PERSIST)\s+|@@(?:(GLOBAL|SESSION|LOCAL)\.)?)?"
     r"(@?)[`'\"]?([\w.$]+)[`'\"]?\s*:?=\s*(.+?)\s*$",
@@ -115,6 +119,9 @@
             answer = self.system_variables(COMMENT.sub(" ", sql))
             if answer is not None:
                 return answer
+        sleep = SLEEP.match(sql)
+        if sleep is not None:
+            return await self.sleep(sql, float(sleep[1]))
         if "WAIT_FOR_LOG_POSITION" in sql.upper():
             wait = WAIT.match(COMMENT.sub(" ", sql))
             if wait is None:
@@ -122,6 +129,19 @@
             return await self.wait_for_position(wait[1], float(wait[2]))
         return await self.run_statement(sql)
 
+    async def sleep(self, sql: str, seconds: float) -> Answer:
+        """Answer SELECT SLEEP, which holds a slot."""
+        limit = self.time_limit(sql) or None
+        await self.server.begin_work()
+        try:
+            async with asyncio.timeout(limit):
+                await asyncio.sleep(seconds)
+        except TimeoutError:
+            raise TIME_EXCEEDED from None
+        finally:
+            self.server.end_work()
+        return rows_answer(("SLEEP",), [(0,)])
+
     def system_variables(self, sql: str) -> RowsAnswer | None:
         """Answer a SELECT of system variables only, or return None."""
         body = sql.strip().rstrip(";").strip()[len("SELECT") :]
@@ -223,7 +243,8 @@
     async def write(self, sql: str, bound: Bound) -> Answer:
         """Run a write, in its own transaction if none is open."""
         self.server.require_writable()
-        transaction = self.current_transaction()
+        changes_schema = bound.compiled.kind is StatementKind.SCHEMA
+        transaction = None if changes_schema else self.current_transaction()
         if transaction is not None:
             return await self.write_in(transaction, sql, bound)
         transaction = self.server.new_transaction()
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/show.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/show.py
@@ -7,6 +7,7 @@
 from jackdawcrank_standins.backend import columns
 from jackdawcrank_standins.backend.answers import RowsAnswer
 from jackdawcrank_standins.backend.errors import Failure
+from jackdawcrank_standins.backend.sqlite_dialect import quote
 
 if TYPE_CHECKING:
     from jackdawcrank_standins.backend.session import Session
@@ -107,9 +108,8 @@
     if info is None:
         name = f"{session.server.database.name}.{table}"
         raise Failure(1146, "42S02", f"Table '{name}' doesn't exist")
-    quoted = table.replace('"', '""')
     rows: Rows = []
-    for row in sqlite_rows(session, f'PRAGMA table_info("{quoted}")'):
+    for row in sqlite_rows(session, f"PRAGMA table_info({quote(table)})"):
         generated = str(row[1]).lower() == info.id_column
         rows.append(
             (
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/statement_cache.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/statement_cache.py
@@ -14,7 +14,8 @@
 TEXT_MARKER = "__literal{}__"
 MARKERS = re.compile(r"'?(?<!\w)9007199254(7\d{4})(?!\w)'?|'__literal(\d+)__'")
 LEFT_OVER = re.compile(r"9007199254|__literal")
-IN_NAME = re.compile(r'"[^"]*(?:9007199254|__literal)[^"]*"')
+# Names, or texts so that no quote inside them counts.
+NAMES = re.compile(r"'(?:[^']|'')*'|(`[^`]*`)")
 BY_PLACE = re.compile(r"\bBY (?:[^()?]*,\s*)?\?\d")
 MAX_TEXT = 1024
 MAX_LITERALS = 500
@@ -44,6 +45,7 @@
       translator: Translates what the cache lacks.
       capacity: How many shapes and how many texts are kept.
       shapes: Translations by shape; None where literals must stay.
+      wholes: Translations by shape and literals, where these must stay.
       texts: Translations by full text.
     """
 
@@ -52,6 +54,9 @@
     shapes: collections.OrderedDict[str, Compiled | None] = attrs.field(
         factory=collections.OrderedDict
     )
+    wholes: collections.OrderedDict[literals.Shape, Bound] = attrs.field(
+        factory=collections.OrderedDict
+    )
     texts: collections.OrderedDict[str, Bound] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -86,16 +91,28 @@
             if len(self.shapes) > self.capacity:
                 self.shapes.popitem(last=False)
         if compiled is None:
-            return Bound(self.translator.translate(sql))
+            return self.bind_whole(shape)
         return Bound(compiled, shape.values)
 
+    def bind_whole(self, shape: literals.Shape) -> Bound:
+        """Return the translation of a statement whose literals stay in it."""
+        bound = self.wholes.get(shape)
+        if bound is None:
+            values = tuple(map(literals.literal, shape.values))
+            sql = literals.fill(shape.key, values)
+            bound = Bound(self.translator.translate(sql))
+            self.wholes[shape] = bound
+            if len(self.wholes) > self.capacity:
+                self.wholes.popitem(last=False)
+        return bound
+
     def generalize(self, shape: literals.Shape) -> Compiled | None:
         """Return a translation with parameters, or None if it has none.
 
         Each literal is replaced by a marker; the translation is usable for
         any values if it shows each marker in a place for a value.
         """
-        if not shape.values or len(shape.values) > MAX_LITERALS:
+        if len(shape.values) > MAX_LITERALS:
             return None
         marked = literals.fill(shape.key, markers(shape.values))
         compiled = self.translator.translate(marked)
@@ -104,14 +121,21 @@
         sql = parametrize(compiled.sql[0], len(shape.values))
         if sql is None:
             return None
-        insert_only = compiled.insert_only_sql
-        if insert_only is not None:
-            insert_only = MARKERS.sub(parameter, insert_only)
-        return attrs.evolve(compiled, sql=(sql,), insert_only_sql=insert_only)
+        if compiled.insert_only_sql is None:
+            return attrs.evolve(compiled, sql=(sql,))
+        marked = compiled.insert_only_sql
+        places = [place_of(match) for match in MARKERS.finditer(marked)]
+        return attrs.evolve(
+            compiled,
+            sql=(sql,),
+            insert_only_sql=MARKERS.sub(parameter, marked),
+            insert_only_parameters=max(places, default=-1) + 1,
+        )
 
     def clear(self) -> None:
         """Forget everything, after a change of the schema."""
         self.shapes.clear()
+        self.wholes.clear()
         self.texts.clear()
 
 
@@ -119,7 +143,7 @@
     """Return one recognizable literal of the same type for each value."""
     return tuple(
         f"'{TEXT_MARKER.format(place)}'"
-        if isinstance(value, str)
+        if isinstance(value, (str, bytes))
         else str(NUMBER_MARKER + place)
         for place, value in enumerate(values)
     )
@@ -151,6 +175,8 @@
     result = MARKERS.sub(parameter, sql)
     if len(found) != count or LEFT_OVER.search(result):
         return None
-    if IN_NAME.search(sql) or BY_PLACE.search(result):
+    if any(LEFT_OVER.search(name) for name in NAMES.findall(sql)):
+        return None
+    if BY_PLACE.search(result):
         return None
     return result
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/translation.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/translation.py
@@ -15,15 +15,37 @@
     syntax_error,
     unknown_database,
 )
-from jackdawcrank_standins.backend.expressions import rewrite
 from jackdawcrank_standins.backend.functions import PREFIX
 from jackdawcrank_standins.backend.result_kinds import ResultKinds
+from jackdawcrank_standins.backend.sqlite_dialect import quote, sqlite_sql
 
+# Comments, or strings so that nothing inside them counts as a comment.
+COMMENT = re.compile(
+    r"""('(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*")|/\*.*?\*/""",
+    re.DOTALL,
+)
 REPLACE = re.compile(r"\s*REPLACE\s+(?:INTO\s+)?", re.IGNORECASE)
 RENAME = re.compile(
     r"\s*RENAME\s+TABLE\s+(\S+)\s+TO\s+(\S+)\s*;?\s*$", re.IGNORECASE
 )
-VARIABLE = re.compile(PREFIX + r"variable\('((?:@|@@)[^']*)'\)")
+VARIABLE = re.compile(PREFIX + r"variable\('((?:@|@@)[^']*)'\)", re.IGNORECASE)
+SELECT_HEAD = re.compile(r"\s*SELECT\s+(?:DISTINCT\s+|ALL\s+)?", re.IGNORECASE)
+TOKEN = re.compile(
+    r"""'(?:[^'\\]|\\.|'')*'|"(?:[^"\\]|\\.|"")*\""""
+    r"""|`[^`]*`|\w+|\s+|.""",
+    re.DOTALL,
+)
+ENDS_OF_COLUMNS = {
+    "FROM",
+    "WHERE",
+    "GROUP",
+    "HAVING",
+    "ORDER",
+    "LIMIT",
+    "FOR",
+    "UNION",
+    ";",
+}
 EXCLUDED = "excluded"
 
 
@@ -48,13 +70,14 @@
         Raises:
           Failure: The statement cannot be parsed or translated.
         """
+        sql = COMMENT.sub(keep_strings, sql)
         replaces = REPLACE.match(sql)
         if replaces:
             sql = "INSERT INTO " + sql[replaces.end() :]
         sql = RENAME.sub(r"ALTER TABLE \1 RENAME TO \2", sql)
         statement = self.parse(sql)
         self.drop_qualifiers(statement)
-        return self.compile(statement, bool(replaces))
+        return self.compile(statement, bool(replaces), projection_texts(sql))
 
     def parse(self, sql: str) -> exp.Expression:
         """Return the syntax tree of one statement."""
@@ -63,6 +86,8 @@
         except SqlglotError as error:
             raise syntax_error(str(error).split("\n")[0]) from error
         found = [item for item in statements if item is not None]
+        if any(isinstance(item, exp.Command) for item in found):
+            raise schema_statements.UNSUPPORTED
         if len(found) != 1:
             raise syntax_error("one statement is expected")
         return found[0]
@@ -79,11 +104,13 @@
             if column.db:
                 column.set("db", None)
 
-    def compile(self, statement: exp.Expression, replaces: bool) -> Compiled:
+    def compile(
+        self, statement: exp.Expression, replaces: bool, texts: list[str]
+    ) -> Compiled:
         """Return a parsed statement in SQLite's dialect."""
         match statement:
             case exp.Query():
-                return self.query(statement)
+                return self.query(statement, texts)
             case exp.Insert():
                 return self.insert(statement, replaces)
             case exp.Update():
@@ -94,8 +121,8 @@
                 return self.truncate(statement)
         return Compiled(StatementKind.SCHEMA, self.schema_change(statement))
 
-    def query(self, statement: exp.Query) -> Compiled:
-        """Translate a query."""
+    def query(self, statement: exp.Query, texts: list[str]) -> Compiled:
+        """Translate a query whose columns are written as in `texts`."""
         kinds = ResultKinds(self.catalog).of_query(statement)
         locks = isinstance(statement, exp.Select) and statement.args.get(
             "locks"
@@ -103,7 +130,7 @@
         if locks:
             statement.set("locks", None)
         remove_dual(statement)
-        name_projections(statement)
+        name_projections(statement, texts)
         sql = sqlite_sql(statement)
         return Compiled(
             StatementKind.LOCKING_READ if locks else StatementKind.READ,
@@ -149,7 +176,7 @@
             value = assignment.expression.transform(
                 functools.partial(proposed_value, alias=alias)
             )
-            column = schema_statements.quote(assignment.this.name)
+            column = quote(assignment.this.name)
             assignments.append(f"{column} = {sqlite_sql(value)}")
         # SQLite reads `SELECT … ON` as a join unless a WHERE stands between.
         guard = (
@@ -212,7 +239,7 @@
         return Compiled(
             StatementKind.SCHEMA,
             (
-                f"DELETE FROM {schema_statements.quote(name)}",
+                f"DELETE FROM {quote(name)}",
                 f"DELETE FROM sqlite_sequence WHERE name = {literal}",
             ),
         )
@@ -233,9 +260,9 @@
         raise schema_statements.UNSUPPORTED
 
 
-def sqlite_sql(statement: exp.Expression) -> str:
-    """Return the SQLite text of a tree in MySQL's form."""
-    return str(statement.transform(rewrite).sql("sqlite"))
+def keep_strings(match: re.Match[str]) -> str:
+    """Return a string as it is and a space for a comment."""
+    return match[1] or " "
 
 
 def variables_of(sql: str) -> frozenset[str]:
@@ -243,6 +270,32 @@
     return frozenset(VARIABLE.findall(sql))
 
 
+def projection_texts(sql: str) -> list[str]:
+    """Return the result columns of a SELECT as they are written.
+
+    Args:
+      sql: The statement.
+
+    Returns:
+      Nothing if the statement is not a plain SELECT.
+    """
+    head = SELECT_HEAD.match(sql)
+    if head is None:
+        return []
+    texts = [""]
+    depth = 0
+    for match in TOKEN.finditer(sql, head.end()):
+        token = match[0]
+        depth += (token == "(") - (token == ")")
+        if depth == 0 and token.upper() in ENDS_OF_COLUMNS:
+            break
+        if depth == 0 and token == ",":
+            texts.append("")
+        else:
+            texts[-1] += token
+    return [text.strip() for text in texts]
+
+
 def remove_dual(statement: exp.Expression) -> None:
     """Remove `FROM DUAL`."""
     for select in statement.find_all(exp.Select):
@@ -251,23 +304,26 @@
             select.set("from_", None)
 
 
-def name_projections(statement: exp.Expression) -> None:
-    """Give unnamed result columns the names that MySQL gives them."""
+def name_projections(statement: exp.Expression, texts: list[str]) -> None:
+    """Give unnamed result columns the names that MySQL gives them.
+
+    Args:
+      statement: The query.
+      texts: The columns as written, if they could be told apart.
+    """
     select = statement
     while isinstance(select, (exp.SetOperation, exp.Subquery)):
         select = select.this
     if not isinstance(select, exp.Select):
         return
     named = []
-    for projection in select.expressions:
+    if len(texts) != len(select.expressions):
+        texts = [item.sql("mysql") for item in select.expressions]
+    for projection, text in zip(select.expressions, texts, strict=True):
         if isinstance(projection, (exp.Alias, exp.Column, exp.Star)):
             named.append(projection)
             continue
-        name = (
-            projection.name
-            if isinstance(projection, exp.Literal)
-            else projection.sql("mysql")
-        )
+        name = projection.name if isinstance(projection, exp.Literal) else text
         named.append(exp.alias_(projection, name, quoted=True))
     select.set("expressions", named)
 
