--- a/packages/jackdawcrank-proxy/src/jackdawcrank/config/follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/config/follower.py
@@ -241,6 +241,12 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def read_up_to(self, version: int) -> None:
+        """Return once a version is in force; read at once if it is not."""
+        if self.version < version:
+            await self.read()
+        await self.wait_above(version - 1)
+
     async def wait_above(self, version: int) -> None:
         """Return once a version above the given one is in force."""
         while self.version <= version:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/resource_handlers.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/resource_handlers.py
@@ -81,8 +81,10 @@
         expected = expected_version(request, document)
         if isinstance(expected, MalformedCondition):
             return error_answer(BAD_REQUEST, "malformed", expected.detail)
-        configuration = self.ports.follower.configuration
-        refusal = missing_reference(resource, configuration)
+        follower = self.ports.follower
+        if missing_reference(resource, follower.configuration) is not None:
+            await follower.read()
+        refusal = missing_reference(resource, follower.configuration)
         if refusal is not None:
             return refusal
         return await write(
@@ -102,6 +104,7 @@
         expected = expected_version(request)
         if isinstance(expected, MalformedCondition):
             return error_answer(BAD_REQUEST, "malformed", expected.detail)
+        await self.ports.follower.read()
         configuration = self.ports.follower.configuration
         if (kind, name) not in configuration.entries:
             return missing_answer(f"{kind} {name}")
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/watch.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/watch.py
@@ -91,6 +91,8 @@
                 await send_line(response, change_view(change))
                 version = change.version
             if not changes and not await self.newer_than(version):
+                if self.closing.is_set():
+                    return
                 bookmark = {"version": version, "bookmark": True}
                 await send_line(response, bookmark)
             following = await self.changes_after(version)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/writes.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/writes.py
@@ -158,8 +158,7 @@
     """Wait for a version, so that this proxy's next answer shows it."""
     try:
         async with asyncio.timeout(IN_FORCE_HERE_SECONDS):
-            await ports.follower.peer_is_at(version)
-            await ports.follower.wait_above(version - 1)
+            await ports.follower.read_up_to(version)
     except TimeoutError:
         return
 
