Test the policy of writes with faults at every step

The first version counted repeated fences too and never reached the opening of the term; the count is now checked by a test of its own.

--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/coordination/test_coordination.py
@@ -0,0 +1,114 @@
+"""Who acts for a group and what it does to the row and the servers."""
+
+import attrs
+import pytest
+
+from jackdawcrank_policy.coordination import (
+    RowHistory,
+    acting_coordinator,
+    alignment,
+    divergent_tail,
+    rank,
+    upkeep,
+)
+from jackdawcrank_policy.lease import LEASE_CLOSING_SECONDS
+from jackdawcrank_policy.values import (
+    Branch,
+    GroupPhase,
+    GroupRow,
+    Position,
+    ServerReport,
+    ServerRole,
+    TermStart,
+)
+
+HOMES = ("vm1", "vm2", "vm3")
+BRANCH = Branch((TermStart(1, 0), TermStart(2, 100)))
+ROW = GroupRow(
+    "ledger", 2, GroupPhase.ACTIVE, "s1", "vm2", ("vm1", "vm2"), BRANCH
+)
+
+
+def report(
+    server: str, term: int, role: ServerRole, position: Position
+) -> ServerReport:
+    return ServerReport(server, term, role, position)
+
+
+def test_the_coordinator_comes_first_and_all_ranks_differ() -> None:
+    ranks = [rank(vm, "vm2", HOMES) for vm in HOMES]
+    assert ranks == [1, 0, 2]
+    assert rank("vm9", "vm2", HOMES) is None
+    assert [rank(vm, "gone", HOMES) for vm in HOMES] == [0, 1, 2]
+
+
+def test_the_first_live_home_acts_for_a_dead_coordinator() -> None:
+    assert acting_coordinator("vm2", HOMES, frozenset(HOMES)) == "vm2"
+    live = frozenset({"vm1", "vm3"})
+    assert acting_coordinator("vm2", HOMES, live) == "vm1"
+    assert acting_coordinator("vm2", HOMES, frozenset()) is None
+
+
+def test_upkeep_names_the_live_homes_as_writers() -> None:
+    live = frozenset({"vm1", "vm3"})
+    wanted = upkeep(ROW, "vm1", HOMES, live)
+    assert wanted is not None
+    assert (wanted.writers, wanted.coordinator) == (("vm1", "vm3"), "vm1")
+    assert wanted.term == ROW.term
+    assert upkeep(wanted, "vm1", HOMES, live) is None
+    assert upkeep(ROW, "vm3", HOMES, live) is None
+
+
+@pytest.mark.parametrize(
+    ("answer", "told"),
+    [
+        (report("s1", 2, ServerRole.PRIMARY, Position(2, 120)), False),
+        (report("s2", 2, ServerRole.REPLICA, Position(2, 110)), False),
+        (report("s1", 2, ServerRole.REPLICA, Position(1, 100)), True),
+        (report("s3", 1, ServerRole.PRIMARY, Position(1, 130)), True),
+        (report("s3", 0, ServerRole.REPLICA, Position(0, 0)), True),
+        (report("s3", 3, ServerRole.REPLICA, Position(2, 110)), False),
+    ],
+)
+def test_servers_out_of_line_are_told(answer: ServerReport, told: bool) -> None:
+    assert (alignment(ROW, answer) is not None) is told
+
+
+def test_the_divergent_tail_is_counted() -> None:
+    assert divergent_tail(Position(1, 130), BRANCH) == 30
+    assert divergent_tail(Position(1, 100), BRANCH) == 0
+    assert divergent_tail(Position(2, 130), BRANCH) == 0
+
+
+def test_a_writer_that_left_is_waited_for() -> None:
+    history = RowHistory()
+    history.observe(ROW, 1, 10.0, in_order=True)
+    assert history.quick_from == 10.0 + LEASE_CLOSING_SECONDS
+    opened = attrs.evolve(ROW, term=3)
+    history.observe(opened, 2, 20.0, in_order=True)
+    assert (history.quick_from, history.writers_complete) == (20.0, True)
+    grown = attrs.evolve(opened, writers=HOMES)
+    history.observe(grown, 3, 30.0, in_order=True)
+    assert (history.quick_from, history.writers_complete) == (20.0, True)
+    shrunk = attrs.evolve(opened, writers=("vm1",))
+    history.observe(shrunk, 4, 40.0, in_order=True)
+    assert history.quick_from == 40.0 + LEASE_CLOSING_SECONDS
+    assert not history.writers_complete
+
+
+def test_a_row_that_skipped_changes_is_not_trusted() -> None:
+    history = RowHistory()
+    history.observe(ROW, 1, 10.0, in_order=True)
+    history.observe(attrs.evolve(ROW, term=4), 9, 50.0, in_order=False)
+    assert history.quick_from == 50.0 + LEASE_CLOSING_SECONDS
+    assert not history.writers_complete
+
+
+def test_leases_end_counted_from_the_first_claim_seen() -> None:
+    history = RowHistory()
+    history.observe(ROW, 1, 10.0, in_order=True)
+    assert history.leases_out_at() is None
+    claim = attrs.evolve(ROW, term=3, phase=GroupPhase.PREPARING)
+    history.observe(claim, 2, 20.0, in_order=True)
+    history.observe(attrs.evolve(claim, term=4), 3, 22.0, in_order=True)
+    assert history.leases_out_at() == 20.0 + LEASE_CLOSING_SECONDS
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/detection/test_primary_detector.py
@@ -0,0 +1,91 @@
+"""Suspecting a primary by missed deadlines."""
+
+import pytest
+
+from jackdawcrank_policy.detection import (
+    PROBE_TIMEOUT_SECONDS,
+    SUSPECT_AFTER_SECONDS,
+    PrimaryDetector,
+    PrimaryHealth,
+)
+
+
+@pytest.fixture
+def detector() -> PrimaryDetector:
+    detector = PrimaryDetector()
+    detector.reset(0.0)
+    detector.answered(10.0, 10.02)
+    return detector
+
+
+def miss(detector: PrimaryDetector, count: int, start: float = 10.25) -> float:
+    now = start
+    for _ in range(count):
+        detector.missed(now, now + PROBE_TIMEOUT_SECONDS)
+        now += PROBE_TIMEOUT_SECONDS
+    return now
+
+
+def test_silence_and_misses_make_a_suspect(detector: PrimaryDetector) -> None:
+    now = miss(detector, 3)
+    detector.other_answered(now - 0.2)
+    assert detector.health(now) is PrimaryHealth.SUSPECT
+
+
+def test_silence_without_misses_is_this_process_pausing(
+    detector: PrimaryDetector,
+) -> None:
+    detector.other_answered(10.0)
+    assert detector.health(40.0) is PrimaryHealth.HEALTHY
+    detector.missed(39.9, 40.0)
+    assert detector.health(40.0) is PrimaryHealth.SLOW
+
+
+def test_misses_within_a_short_silence_are_slowness(
+    detector: PrimaryDetector,
+) -> None:
+    now = miss(detector, 2)
+    assert now - 10.0 < SUSPECT_AFTER_SECONDS
+    assert detector.health(now) is PrimaryHealth.SLOW
+
+
+def test_an_answer_clears_the_suspicion(detector: PrimaryDetector) -> None:
+    now = miss(detector, 4)
+    detector.answered(now, now + 0.02)
+    assert detector.health(now + 0.02) is not PrimaryHealth.SUSPECT
+    assert detector.misses == 0
+
+
+def test_late_answers_are_slow(detector: PrimaryDetector) -> None:
+    for number in range(8):
+        detector.answered(11.0 + number, 11.28 + number)
+    assert detector.health(19.0) is PrimaryHealth.SLOW
+
+
+def test_refusals_count_sooner(detector: PrimaryDetector) -> None:
+    detector.other_answered(10.4)
+    detector.refused(10.25)
+    detector.refused(10.5)
+    assert detector.health(10.52) is PrimaryHealth.REFUSING
+
+
+def test_a_proxy_that_reaches_nobody_is_cut_off(
+    detector: PrimaryDetector,
+) -> None:
+    now = miss(detector, 10)
+    assert detector.health(now) is PrimaryHealth.CUT_OFF
+
+
+def test_one_fresh_miss_corroborates(detector: PrimaryDetector) -> None:
+    now = miss(detector, 1)
+    detector.other_answered(10.3)
+    assert detector.health(now) is PrimaryHealth.SLOW
+    assert detector.corroborating_health(now) is PrimaryHealth.SUSPECT
+
+
+def test_a_miss_from_before_an_answer_is_ignored(
+    detector: PrimaryDetector,
+) -> None:
+    detector.answered(12.0, 12.02)
+    detector.missed(11.8, 12.1)
+    assert detector.misses == 0
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/lease/test_lease_table.py
@@ -0,0 +1,81 @@
+"""Leases of one VM."""
+
+import attrs
+import pytest
+
+from jackdawcrank_policy.lease import (
+    LEASE_CLOSING_SECONDS,
+    LEASE_SECONDS,
+    LeaseState,
+    LeaseTable,
+)
+from jackdawcrank_policy.values import Branch, GroupPhase, GroupRow, TermStart
+
+ROW = GroupRow(
+    "ledger",
+    4,
+    GroupPhase.ACTIVE,
+    "s1",
+    "vm1",
+    ("vm1", "vm2"),
+    Branch((TermStart(4, 0),)),
+)
+
+
+@pytest.fixture
+def table() -> LeaseTable:
+    table = LeaseTable("vm1")
+    table.install(ROW, 10)
+    table.renew(100.0, 10)
+    return table
+
+
+def test_a_lease_runs_from_before_the_read(table: LeaseTable) -> None:
+    assert table.holds("ledger", 4, 100.0 + LEASE_SECONDS - 0.001)
+    assert not table.holds("ledger", 4, 100.0 + LEASE_SECONDS)
+    late = table.state("ledger", 4, 100.0 + LEASE_SECONDS)
+    assert late is LeaseState.LAPSED
+
+
+def test_a_pause_between_read_and_act_ends_the_lease(
+    table: LeaseTable,
+) -> None:
+    table.renew(101.0, 10)
+    assert not table.holds("ledger", 4, 109.0)
+
+
+def test_an_older_answer_renews_nothing(table: LeaseTable) -> None:
+    table.renew(105.0, 12)
+    table.renew(107.0, 11)
+    assert table.renewed_at == 105.0
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        attrs.evolve(ROW, term=5, phase=GroupPhase.PREPARING),
+        attrs.evolve(ROW, term=5),
+        attrs.evolve(ROW, writers=("vm2",)),
+    ],
+)
+def test_a_newer_row_closes_the_lease(table: LeaseTable, row: GroupRow) -> None:
+    assert table.install(row, 11)
+    assert table.state("ledger", 4, 100.1) is LeaseState.CLOSED
+
+
+def test_an_older_row_changes_nothing(table: LeaseTable) -> None:
+    assert not table.install(attrs.evolve(ROW, term=3), 9)
+    assert table.holds("ledger", 4, 100.1)
+
+
+def test_a_lease_that_was_given_up_is_not_renewed(table: LeaseTable) -> None:
+    table.give_up("ledger", 4)
+    table.renew(101.0, 10)
+    assert table.state("ledger", 4, 101.1) is LeaseState.CLOSED
+    table.install(attrs.evolve(ROW, term=5), 11)
+    assert table.holds("ledger", 5, 101.1)
+
+
+def test_the_closing_wait_covers_a_slow_clock() -> None:
+    holder_seconds = LEASE_SECONDS * 1.02
+    assert holder_seconds <= LEASE_CLOSING_SECONDS
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/promotion/conftest.py
@@ -0,0 +1,363 @@
+"""A group in memory, coordinators that can fail, and a writer cut off."""
+
+import collections
+import enum
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from jackdawcrank_policy.acknowledgement import (
+    NeedConfirmation,
+    Quorum,
+    acknowledge,
+)
+from jackdawcrank_policy.lease import LeaseTable
+from jackdawcrank_policy.promotion import (
+    Abandoned,
+    Action,
+    Announced,
+    AnnounceFailed,
+    AnnouncePrimary,
+    AskGiveUp,
+    ClaimConflict,
+    Claimed,
+    ClaimTerm,
+    Event,
+    Fenced,
+    FenceRefused,
+    FenceServer,
+    Finished,
+    LeaseGivenUp,
+    OpenConflict,
+    Opened,
+    OpenTerm,
+    Probed,
+    ProbeServer,
+    Promotion,
+    PromotionCause,
+    PromotionPlan,
+    SetTimer,
+    StoreLost,
+    TimerFired,
+    Unreachable,
+)
+from jackdawcrank_policy.values import (
+    Branch,
+    Done,
+    GroupPhase,
+    GroupRow,
+    ServerRole,
+    TermStart,
+)
+from jackdawcrank_standins.history import (
+    CallerOutcome,
+    CallerRecord,
+    History,
+    ModelServer,
+    TermRecord,
+)
+
+GROUP = "ledger"
+STEP_SECONDS = 0.01
+SERVERS = ("s1", "s2", "s3")
+
+
+class Fault(enum.Enum):
+    """What happens to one action of a coordinator."""
+
+    CRASH_BEFORE = "crash_before"
+    CRASH_AFTER = "crash_after"
+    PAUSE_BEFORE = "pause_before"
+    PAUSE_AFTER = "pause_after"
+    LOST_REQUEST = "lost_request"
+    LOST_ANSWER = "lost_answer"
+
+
+@attrs.define(eq=False)
+class Group:
+    """Three servers, the store and a writer on the old primary's side.
+
+    The old primary s1 and the writer are cut off from the coordinators and
+    the store; s3 is reached from both sides.
+    """
+
+    confirm_writes: bool = False
+    now: float = 0.0
+    row: GroupRow | None = None
+    version: int = 1
+    history: History = attrs.field(factory=History)
+    cut_off: frozenset[str] = frozenset({"s1"})
+    writer: LeaseTable = attrs.field(factory=lambda: LeaseTable("vm-cut-off"))
+    writer_answers: bool = False
+    writes: int = 0
+    servers: dict[str, ModelServer] = attrs.field(
+        factory=lambda: {name: ModelServer(name) for name in SERVERS}
+    )
+
+    def open_first_term(self) -> None:
+        for server in self.servers.values():
+            server.fence(1)
+            server.announce(1, 0, "s1")
+        self.row = GroupRow(
+            GROUP,
+            1,
+            GroupPhase.ACTIVE,
+            "s1",
+            "vm-old",
+            ("vm-cut-off",),
+            Branch((TermStart(1, 0),)),
+        )
+        self.history.terms.append(TermRecord(1, 0.0, "s1"))
+        self.writer.install(self.row, 1)
+        self.writer.renew(0.0, 1)
+        for number in range(4):
+            self.servers["s1"].commit(f"first{number}")
+        self.servers["s3"].pull(self.servers["s1"])
+        self.servers["s2"].pull(self.servers["s1"], limit=2)
+
+    def pass_time(self, until: float | None = None) -> None:
+        """Let time pass and the cut-off writer work."""
+        self.now = max(self.now + STEP_SECONDS, until or 0.0)
+        for name in ("s2", "s3"):
+            server = self.servers[name]
+            leader = self.servers.get(server.primary)
+            if leader is None or (name == "s2" and "s1" in self.cut_off):
+                continue
+            server.pull(leader)
+        self.write()
+
+    def write(self) -> None:
+        """Write once on the old primary and acknowledge if that is right."""
+        self.writes += 1
+        write_id = f"w{self.writes}"
+        position = self.servers["s1"].commit(write_id)
+        if position is None or position.term != 1:
+            return
+        self.servers["s3"].pull(self.servers["s1"])
+        replies: dict[str, int | None] = {}
+        while True:
+            verdict = acknowledge(
+                position,
+                1,
+                self.writer.state(GROUP, 1, self.now),
+                Quorum(3),
+                self.confirm_writes,
+                ("s2", "s3"),
+                replies,
+            )
+            if not isinstance(verdict, NeedConfirmation):
+                break
+            replies["s2"] = None
+            replies["s3"] = self.servers["s3"].confirm(position)
+        if isinstance(verdict, Done):
+            self.history.answers.append(
+                CallerRecord(
+                    write_id,
+                    CallerOutcome.DONE,
+                    self.now,
+                    1,
+                    self.confirm_writes,
+                )
+            )
+
+    def put(self, expected: GroupRow | None, new: GroupRow) -> bool:
+        """Compare-and-set the row; a repeat of the same write holds."""
+        if self.row == new:
+            return True
+        if self.row != expected:
+            return False
+        self.version += 1
+        self.row = new
+        if new.phase is GroupPhase.ACTIVE:
+            self.history.terms.append(
+                TermRecord(new.term, self.now, new.primary)
+            )
+        return True
+
+    def finished_history(self) -> History:
+        assert self.row is not None
+        self.history.final_primary = self.row.primary
+        self.history.logs = {
+            name: tuple(server.log) for name, server in self.servers.items()
+        }
+        return self.history
+
+    def leaders(self) -> list[str]:
+        """Return the servers that accept commits in the newest term."""
+        assert self.row is not None
+        return [
+            server.name
+            for server in self.servers.values()
+            if server.role is ServerRole.PRIMARY
+            and not server.fenced
+            and server.term == self.row.term
+        ]
+
+
+@attrs.define(eq=False)
+class Coordinator:
+    """Drives a promotion one action at a time, with a fault at one of them."""
+
+    vm: str
+    group: Group
+    cause: PromotionCause = PromotionCause.FAILURE
+    target: str | None = None
+    fault: Fault | None = None
+    fault_at: int = -1
+    actions: collections.deque[Action] = attrs.field(factory=collections.deque)
+    timers: dict[str, float] = attrs.field(factory=dict)
+    kinds: set[tuple[type, str]] = attrs.field(factory=set)
+    stopped: bool = False
+    delayed: list[Event] = attrs.field(factory=list)
+    end: Finished | Abandoned | None = None
+    promotion: Promotion = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        plan = PromotionPlan(
+            group=GROUP,
+            vm=self.vm,
+            cause=self.cause,
+            expected=self.group.row,
+            servers=SERVERS,
+            writers=(self.vm,),
+            target=self.target,
+            confirm_writes=self.group.confirm_writes,
+        )
+        self.promotion = Promotion(plan)
+        self.actions.extend(self.promotion.start(self.group.now))
+
+    def run(self) -> None:
+        """Go on until the end or the fault."""
+        while self.end is None and not self.stopped:
+            self.step()
+
+    def resume(self) -> None:
+        """Go on after a pause with what had arrived meanwhile."""
+        self.stopped = False
+        for event in self.delayed:
+            self.take(event)
+        self.run()
+
+    def step(self) -> None:
+        """Carry out the next action, or let the next timer fire."""
+        if self.actions:
+            self.carry_out(self.actions.popleft())
+            return
+        if not self.timers:
+            self.stopped = True
+            return
+        timer = min(self.timers, key=lambda name: self.timers[name])
+        self.group.pass_time(self.timers.pop(timer))
+        self.take(TimerFired(timer))
+
+    def carry_out(self, action: Action) -> None:
+        if isinstance(action, Finished | Abandoned):
+            self.end = action
+            return
+        if isinstance(action, SetTimer):
+            self.timers[action.timer] = action.at
+            return
+        here = self.is_first_of_its_kind(action) and (
+            len(self.kinds) - 1 == self.fault_at
+        )
+        if here and self.fault in (Fault.CRASH_BEFORE, Fault.PAUSE_BEFORE):
+            self.actions.appendleft(action)
+            self.stopped = True
+            return
+        if here and self.fault is Fault.LOST_REQUEST:
+            self.take(self.no_answer(action))
+            return
+        event = self.act(action)
+        self.group.pass_time()
+        if here and self.fault in (Fault.CRASH_AFTER, Fault.PAUSE_AFTER):
+            self.delayed.append(event)
+            self.stopped = True
+        elif here and self.fault is Fault.LOST_ANSWER:
+            self.take(self.no_answer(action))
+        else:
+            self.take(event)
+
+    def is_first_of_its_kind(self, action: Action) -> bool:
+        """Return whether an action is no repetition of an earlier one."""
+        subject = getattr(action, "server", getattr(action, "vm", ""))
+        kind = (type(action), subject)
+        first = kind not in self.kinds
+        self.kinds.add(kind)
+        return first
+
+    def take(self, event: Event | None) -> None:
+        if event is not None:
+            self.actions.extend(self.promotion.on(event, self.group.now))
+
+    def no_answer(self, action: Action) -> Event | None:
+        match action:
+            case ClaimTerm() | OpenTerm():
+                return StoreLost()
+            case FenceServer() | ProbeServer():
+                return Unreachable(action.server)
+            case AnnouncePrimary():
+                return AnnounceFailed(action.server)
+        return None
+
+    def act(self, action: Action) -> Event | None:
+        group = self.group
+        match action:
+            case ClaimTerm(expected, row):
+                if group.put(expected, row):
+                    return Claimed(row)
+                return ClaimConflict(group.row)
+            case OpenTerm(expected, row):
+                if group.put(expected, row):
+                    return Opened(row)
+                return OpenConflict(group.row)
+            case FenceServer(name, term):
+                server = group.servers[name]
+                if name in group.cut_off:
+                    return Unreachable(name)
+                if not server.fence(term):
+                    return FenceRefused(name)
+                return Fenced(server.report())
+            case ProbeServer(name):
+                if name in group.cut_off:
+                    return Unreachable(name)
+                return Probed(group.servers[name].report())
+            case AskGiveUp(vm, term):
+                if not group.writer_answers:
+                    return None
+                group.writer.give_up(GROUP, term - 1)
+                return LeaseGivenUp(vm)
+            case AnnouncePrimary(name, term, offset, primary):
+                if name in group.cut_off:
+                    return AnnounceFailed(name)
+                if group.servers[name].announce(term, offset, primary):
+                    return Announced(name)
+                return AnnounceFailed(name)
+        raise AssertionError(action)
+
+
+@pytest.fixture
+def make_group() -> Callable[..., Group]:
+    def make(confirm_writes: bool = False) -> Group:
+        group = Group(confirm_writes)
+        group.open_first_term()
+        return group
+
+    return make
+
+
+@pytest.fixture
+def coordinate() -> Callable[..., Coordinator]:
+    return Coordinator
+
+
+@pytest.fixture(params=list(Fault), ids=lambda fault: str(fault.value))
+def fault(request: pytest.FixtureRequest) -> Fault:
+    assert isinstance(request.param, Fault)
+    return request.param
+
+
+@pytest.fixture(params=[Fault.LOST_REQUEST, Fault.LOST_ANSWER])
+def lost(request: pytest.FixtureRequest) -> Fault:
+    assert isinstance(request.param, Fault)
+    return request.param
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/promotion/test_promotion.py
@@ -0,0 +1,203 @@
+"""Faults at every step of a promotion."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from jackdawcrank_policy.lease import LEASE_CLOSING_SECONDS
+from jackdawcrank_policy.promotion import (
+    Abandoned,
+    AbandonReason,
+    Finished,
+    PromotionCause,
+)
+from jackdawcrank_policy.values import GroupPhase, Position
+from jackdawcrank_standins.history import check_history
+
+ACTIONS_OF_A_PROMOTION = 8
+
+
+def finish(coordinate: Callable[..., Any], group: Any, first: Any) -> None:
+    """Let another coordinator finish what a failed one began."""
+    for number in range(3):
+        if group.row.term > 1 and group.row.phase is GroupPhase.ACTIVE:
+            break
+        cause = PromotionCause.TAKEOVER if group.row.term > 1 else first
+        coordinate(f"vm-next{number}", group, cause).run()
+
+
+@pytest.mark.parametrize("confirm_writes", [False, True])
+@pytest.mark.parametrize("fault_at", range(ACTIONS_OF_A_PROMOTION))
+def test_one_primary_and_no_false_acknowledgement_after_a_fault(
+    make_group: Callable[..., Any],
+    coordinate: Callable[..., Any],
+    fault: Any,
+    fault_at: int,
+    confirm_writes: bool,
+) -> None:
+    group = make_group(confirm_writes)
+    cause = PromotionCause.FAILURE
+    first = coordinate("vm-new", group, cause, fault=fault, fault_at=fault_at)
+    first.run()
+    finish(coordinate, group, cause)
+    if fault.value.startswith("pause"):
+        first.resume()
+    assert group.row.phase is GroupPhase.ACTIVE
+    assert group.row.term > 1
+    announce_again(group)
+    assert group.leaders() == [group.row.primary]
+    for _ in range(5):
+        group.pass_time()
+    assert check_history(group.finished_history()) == []
+
+
+def announce_again(group: Any) -> None:
+    """Name the open term's primary to the servers that can be reached."""
+    offset = group.row.branch.starts[-1].offset
+    for name in ("s2", "s3"):
+        group.servers[name].fence(group.row.term)
+        group.servers[name].announce(group.row.term, offset, group.row.primary)
+
+
+def test_the_faults_reach_every_action(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    coordinator = coordinate("vm-new", make_group())
+    coordinator.run()
+    assert len(coordinator.kinds) == ACTIONS_OF_A_PROMOTION
+
+
+def test_the_most_advanced_replica_leads(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    group = make_group()
+    coordinator = coordinate("vm-new", group)
+    coordinator.run()
+    assert isinstance(coordinator.end, Finished)
+    assert group.row.primary == "s3"
+
+
+def test_leases_are_waited_out_when_a_writer_is_silent(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    group = make_group()
+    coordinate("vm-new", group).run()
+    assert group.history.terms[-1].opened_at >= LEASE_CLOSING_SECONDS
+
+
+def test_a_promise_replaces_the_wait(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    group = make_group()
+    group.writer_answers = True
+    coordinate("vm-new", group).run()
+    assert group.history.terms[-1].opened_at < LEASE_CLOSING_SECONDS / 2
+    assert check_history(group.finished_history()) == []
+
+
+def test_two_coordinators_race_to_one_term(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    group = make_group()
+    one = coordinate("vm-a", group)
+    two = coordinate("vm-b", group)
+    while one.end is None or two.end is None:
+        for coordinator in (one, two):
+            if coordinator.end is None:
+                coordinator.step()
+    ends = sorted(type(one.end).__name__ for one in (one, two))
+    assert ends == ["Abandoned", "Finished"]
+    assert [term.term for term in group.history.terms] == [1, 2]
+
+
+def test_one_reachable_server_of_three_needs_force(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    group = make_group(confirm_writes=True)
+    group.cut_off = frozenset({"s1", "s2"})
+    refused = coordinate("vm-new", group)
+    refused.run()
+    assert isinstance(refused.end, Abandoned)
+    assert refused.end.reason is AbandonReason.TOO_FEW_SERVERS
+    forced = coordinate("vm-new", group, PromotionCause.FORCED)
+    forced.run()
+    assert isinstance(forced.end, Finished)
+    assert group.row.primary == "s3"
+
+
+def test_a_lone_replica_does_not_lead_against_the_others(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    group = make_group()
+    group.cut_off = frozenset({"s1", "s3"})
+    alone = coordinate("vm-new", group)
+    alone.run()
+    assert isinstance(alone.end, Abandoned)
+    group.cut_off = frozenset({"s1"})
+    coordinate("vm-next", group, PromotionCause.TAKEOVER).run()
+    assert group.row.phase is GroupPhase.ACTIVE
+    for _ in range(5):
+        group.pass_time()
+    assert check_history(group.finished_history()) == []
+
+
+@pytest.mark.parametrize("fault_at", range(1, ACTIONS_OF_A_PROMOTION))
+def test_a_lost_answer_after_the_claim_does_not_end_a_promotion(
+    make_group: Callable[..., Any],
+    coordinate: Callable[..., Any],
+    lost: Any,
+    fault_at: int,
+) -> None:
+    group = make_group()
+    coordinator = coordinate("vm-new", group, fault=lost, fault_at=fault_at)
+    coordinator.run()
+    assert isinstance(coordinator.end, Finished)
+    assert group.row.term == 2
+
+
+def test_switch_over_loses_nothing_and_moves_to_its_target(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    group = make_group()
+    group.cut_off = frozenset()
+    group.writer_answers = True
+    group.servers["s2"].primary = "s1"
+    end_of_log = group.servers["s1"].position
+    cause = PromotionCause.SWITCH_OVER
+    group.servers["s2"].pull(group.servers["s1"])
+    coordinator = coordinate("vm-new", group, cause, target="s2")
+    coordinator.run()
+    assert group.row.primary == "s2"
+    assert group.row.branch.starts[-1].offset >= end_of_log.offset
+    assert group.history.terms[-1].opened_at < 0.3
+    assert check_history(group.finished_history()) == []
+
+
+def test_switch_over_to_a_stuck_target_keeps_the_primary(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    group = make_group()
+    group.cut_off = frozenset()
+    group.writer_answers = True
+    group.servers["s2"].primary = ""
+    cause = PromotionCause.SWITCH_OVER
+    coordinate("vm-new", group, cause, target="s2").run()
+    assert group.row.primary == "s1"
+    assert group.leaders() == ["s1"]
+    assert check_history(group.finished_history()) == []
+
+
+def test_a_divergent_server_is_not_chosen(
+    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+) -> None:
+    group = make_group()
+    coordinate("vm-new", group).run()
+    group.servers["s3"].commit("kept")
+    group.servers["s2"].pull(group.servers["s3"])
+    tail = group.servers["s1"].position
+    assert tail > Position(1, 0)
+    group.cut_off = frozenset({"s3"})
+    coordinate("vm-new", group).run()
+    assert group.row.term == 3
+    assert group.row.primary == "s2"
