--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/apply.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/apply.py
@@ -102,6 +102,7 @@
         "name": step.name,
         "result": DONE[step.action],
         "resourceVersion": step.version,
+        "exitCode": int(ExitCode.OK),
     }
     if answer is not None and answer.is_error:
         document["result"] = "failed"
@@ -109,5 +110,4 @@
         document["exitCode"] = int(code_of_status(answer.status))
     elif answer is not None:
         document["resourceVersion"] = answer.document["resourceVersion"]
-        document["exitCode"] = int(ExitCode.OK)
     return document
--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/plan.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/plan.py
@@ -44,7 +44,8 @@
       action: What is to be done.
       kind: The resource's kind.
       name: Its name.
-      version: The version in force; 0 if it does not exist.
+      version: The version that it must have, which is the one in force unless
+        the declaration names another; 0 if it does not exist.
       declared: The declaration; None for a resource to delete.
       differences: What differs.
     """
@@ -95,8 +96,10 @@
         return Step(Action.CREATE, kind, name, 0, item)
     found = differences(present["spec"], plain(item.resource.spec))
     action = Action.CHANGE if found else Action.NONE
+    version = present["resourceVersion"]
     pinned = item.resource.resource_version
-    version = present["resourceVersion"] if pinned is None else pinned
+    if found and pinned is not None:
+        version = pinned
     return Step(action, kind, name, version, item, found)
 
 
--- /dev/null
+++ b/packages/jackdawcrank-cli/tests/test_sessions.py
@@ -0,0 +1,39 @@
+"""Replays whole sessions and compares them with golden files.
+
+UPDATE_SESSIONS=1 writes the files again; look at the difference.
+"""
+
+import pathlib
+from typing import Any
+
+import pytest
+
+SESSIONS = sorted((pathlib.Path(__file__).parent / "sessions").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", SESSIONS, ids=lambda path: path.stem)
+async def test_session(path: pathlib.Path, system: Any, update: bool) -> None:
+    golden = read(path)
+    now = await system.replay(golden)
+    if update:
+        write(path, now)
+    assert now == golden
+
+
+def read(path: pathlib.Path) -> str:
+    return path.read_text()
+
+
+def write(path: pathlib.Path, session: str) -> None:
+    path.write_text(session)
+
+
+def test_there_are_sessions() -> None:
+    assert {path.stem for path in SESSIONS} >= {
+        "apply",
+        "drain",
+        "promote",
+        "race",
+        "timeline",
+        "watch",
+    }
