--- a/packages/jackdawcrank-proxy/tests/peers/test_peer_links.py
+++ b/packages/jackdawcrank-proxy/tests/peers/test_peer_links.py
@@ -293,6 +293,19 @@
     assert dialers == {"vm-a"}
 
 
+@pytest.mark.parametrize("first", ["vm-a", "vm-b"])
+async def test_the_stream_of_the_lower_name_is_preferred(
+    pair: typing.Any, first: str
+) -> None:
+    pair.b.links.set_addresses({"vm-a": ("127.0.0.1", pair.a.server.port)})
+    ends = {"vm-a": pair.a, "vm-b": pair.b}
+    dialer, other = ends.pop(first), *ends.values()
+    await dialer.ask(other.vm, b"one")
+    del other.links.streams[dialer.vm]
+    await other.ask(dialer.vm, b"two")
+    assert pair.a.links.streams["vm-b"].connection.dialer == "vm-a"
+
+
 async def test_a_restarted_peer_replaces_its_old_stream(
     pair: typing.Any, eventually: typing.Any
 ) -> None:
--- a/packages/jackdawcrank-proxy/tests/peers/test_peer_server.py
+++ b/packages/jackdawcrank-proxy/tests/peers/test_peer_server.py
@@ -50,6 +50,7 @@
         pytest.param(b"GET / HTTP/1.1\r\n\r\n", id="HTTP"),
         pytest.param(b"\x00\x00\x00\x00", id="empty frame"),
         pytest.param(b"\x00\x00\x10\x00" + b"x" * 4096, id="long frame"),
+        pytest.param(b"\x00\x00\x04\x01", id="announced long frame"),
         pytest.param(b"\x00\x00\x00\x03\xff\xff\xff", id="no message"),
         *(
             pytest.param(RNG.randbytes(200), id=f"noise {number}")
@@ -58,8 +59,9 @@
     ],
 )
 async def test_garbage_closes_the_connection(
-    pair: typing.Any, junk: bytes
+    pair: typing.Any, junk: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    monkeypatch.setattr(handshake_module, "HANDSHAKE_SECONDS", 60.0)
     reader, writer = await connect(pair)
     writer.write(junk)
     await read_to_end(reader)
