Test the coordination of a group and never reinstate a primary without state

Cause: the first tests showed that a primary that restarted empty was named primary of its term again, and would have written other entries at used positions; and that a coordinator that died between opening a term and announcing it left the primary fenced until the membership list noticed. Change: a primary is announced outside a promotion only if it holds the term's fence and its log ends where the term began; other homes align servers after a staggered delay and probe often in a new term.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/alignment.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/alignment.py
@@ -51,8 +51,11 @@
 def alignment(row: GroupRow, report: ServerReport) -> Announcement | None:
     """Return what to tell a server whose report is not as the row says.
 
-    Covers a replaced primary that returns, a server that restarted, and a
-    primary whose coordinator died before it announced the term.
+    Covers a replaced primary that returns, a replica that restarted, and a
+    primary whose coordinator died before it announced the term. A primary
+    that does not hold the term's fence, or whose log does not end where the
+    term began, has lost its state and is never put into office again: it
+    would write other entries at positions that the term has used.
 
     Args:
       row: The group's newest row.
@@ -60,12 +63,14 @@
     """
     if row.phase is not GroupPhase.ACTIVE or report.term > row.term:
         return None
-    is_primary = report.server == row.primary
-    role = ServerRole.PRIMARY if is_primary else ServerRole.REPLICA
-    in_term = report.term == row.term and report.role is role
-    if in_term and (is_primary or row.branch.keeps(report.position)):
-        return None
     start = row.branch.starts[-1]
+    in_term = report.term == row.term
+    if report.server == row.primary:
+        fits = in_term and report.position.offset == start.offset
+        if report.role is ServerRole.PRIMARY or not fits:
+            return None
+    elif _follows(row, report):
+        return None
     return Announcement(
         server=report.server,
         term=row.term,
@@ -73,3 +78,9 @@
         primary=row.primary,
         divergent_entries=divergent_tail(report.position, row.branch),
     )
+
+
+def _follows(row: GroupRow, report: ServerReport) -> bool:
+    """Return whether a server is a replica on the open term's branch."""
+    in_term = report.term == row.term and report.role is ServerRole.REPLICA
+    return in_term and row.branch.keeps(report.position)
--- a/packages/jackdawcrank-policy/tests/coordination/test_coordination.py
+++ b/packages/jackdawcrank-policy/tests/coordination/test_coordination.py
@@ -65,6 +65,8 @@
         (report("s1", 2, ServerRole.PRIMARY, Position(2, 120)), False),
         (report("s2", 2, ServerRole.REPLICA, Position(2, 110)), False),
         (report("s1", 2, ServerRole.REPLICA, Position(1, 100)), True),
+        (report("s1", 2, ServerRole.REPLICA, Position(2, 110)), False),
+        (report("s1", 0, ServerRole.REPLICA, Position(0, 0)), False),
         (report("s3", 1, ServerRole.PRIMARY, Position(1, 130)), True),
         (report("s3", 0, ServerRole.REPLICA, Position(0, 0)), True),
         (report("s3", 3, ServerRole.REPLICA, Position(2, 110)), False),
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_probes.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_probes.py
@@ -22,6 +22,7 @@
 FRESH_SECONDS = 0.3
 RECENT_SECONDS = 2.0
 TAKE_OFFICE_SECONDS = 1.0
+NEW_TERM_SECONDS = 2.0
 
 
 class GroupProbes:
@@ -98,8 +99,9 @@
         self.set_pace()
 
     def set_pace(self) -> None:
-        """Probe often where this VM coordinates or the primary is silent."""
-        hasty = self.coordinating or self.detector.misses > 0
+        """Probe often while coordinating, in a new term or in suspicion."""
+        new = self.timer.now() - self.row_since < NEW_TERM_SECONDS
+        hasty = self.coordinating or self.detector.misses > 0 or new
         interval = PROBE_INTERVAL_SECONDS if hasty else CALM_INTERVAL_SECONDS
         for probe in self.probes.values():
             probe.hasten(interval)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/server_alignment.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/server_alignment.py
@@ -2,11 +2,15 @@
 
 from jackdawcrank.backend.server_control import Refused
 from jackdawcrank.groups.group_context import GroupContext
-from jackdawcrank_policy.coordination import Announcement, alignment
+from jackdawcrank_policy.coordination import (
+    Announcement,
+    alignment,
+    takeover_delay,
+)
 from jackdawcrank_policy.values import ServerReport
 from jackdawcrank_wire.events import EventKind
 
-ALIGN_INTERVAL_SECONDS = 1.0
+ALIGN_INTERVAL_SECONDS = 0.5
 ALIGN_TIMEOUT_SECONDS = 0.5
 
 
@@ -18,12 +22,14 @@
       divergent: For each server that returned with entries that the open
         term dropped, how many they were.
       tried_at: When each server was last told, in seconds.
+      seen_at: Since when each server's reports do not fit.
     """
 
     def __init__(self, context: GroupContext) -> None:
         self.context = context
         self.divergent: dict[str, int] = {}
         self.tried_at: dict[str, float] = {}
+        self.seen_at: dict[str, float] = {}
 
     def check(self, report: ServerReport) -> None:
         """Tell a server of the open term if its report does not fit.
@@ -32,18 +38,26 @@
           report: The server's newest report.
         """
         row = self.context.row
-        if row is None or not self.context.is_acting:
-            return
-        announcement = alignment(row, report)
+        announcement = alignment(row, report) if row else None
         if announcement is None:
+            self.seen_at.pop(report.server, None)
             return
         now = self.context.timer.now()
+        seen_at = self.seen_at.setdefault(report.server, now)
+        if now < seen_at + self.patience():
+            return
         tried_at = self.tried_at.get(report.server)
         if tried_at is not None and now - tried_at < ALIGN_INTERVAL_SECONDS:
             return
         self.tried_at[report.server] = now
         self.context.tasks.spawn(self.align(announcement, report))
 
+    def patience(self) -> float:
+        """Return the seconds that this VM leaves to those before it."""
+        if self.context.is_acting:
+            return 0.0
+        return ALIGN_INTERVAL_SECONDS + takeover_delay(self.context.rank or 0)
+
     async def align(
         self, announcement: Announcement, report: ServerReport
     ) -> None:
--- /dev/null
+++ b/packages/jackdawcrank-proxy/tests/groups/conftest.py
@@ -0,0 +1,256 @@
+"""Three servers and three homes in memory, on a loop whose time jumps."""
+
+import asyncio
+import functools
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+import pytest
+
+from jackdawcrank.backend.server_control import (
+    Accepted,
+    Refused,
+    Unreachable,
+)
+from jackdawcrank.groups import (
+    Conflict,
+    GroupAgent,
+    Stored,
+    StoreUnavailable,
+)
+from jackdawcrank.timer import TimerService
+from jackdawcrank_policy.detection import PrimaryEvidence
+from jackdawcrank_policy.lease import LeaseTable
+from jackdawcrank_policy.values import (
+    GroupPhase,
+    GroupRow,
+    GroupSpec,
+    Position,
+    ServerReport,
+)
+from jackdawcrank_standins.history import ModelServer, run_virtual
+
+GROUP = "ledger"
+SERVERS = ("s1", "s2", "s3")
+HOMES = ("vm1", "vm2", "vm3")
+LATENCY_SECONDS = 0.005
+HEAD_SECONDS = 1.0
+SPEC = GroupSpec(GROUP)
+
+
+@attrs.define(eq=False)
+class FakeServer:
+    """One server as one home sees it; `cut` pairs do not reach each other."""
+
+    vm: str
+    model: ModelServer
+    cut: set[tuple[str, str]]
+    refusing: set[str]
+    name: str = ""
+
+    async def ask(self, act: Callable[[], Any], timeout_seconds: float) -> Any:
+        await asyncio.sleep(LATENCY_SECONDS)
+        if self.name in self.refusing:
+            return Unreachable("connection refused")
+        if (self.vm, self.name) in self.cut:
+            await asyncio.sleep(timeout_seconds)
+            return Unreachable("no answer in time")
+        answer = act()
+        if answer is True:
+            return Accepted()
+        return Refused(1105, "refused") if answer is False else answer
+
+    async def probe(self, timeout_seconds: float) -> ServerReport | Unreachable:
+        answer = await self.ask(self.model.report, timeout_seconds)
+        assert isinstance(answer, ServerReport | Unreachable)
+        return answer
+
+    async def fence(
+        self, term: int, timeout_seconds: float
+    ) -> Accepted | Refused | Unreachable:
+        answer = await self.ask(lambda: self.model.fence(term), timeout_seconds)
+        assert isinstance(answer, Accepted | Refused | Unreachable)
+        return answer
+
+    async def announce_primary(
+        self, term: int, offset: int, primary: str, timeout_seconds: float
+    ) -> Accepted | Refused | Unreachable:
+        answer = await self.ask(
+            lambda: self.model.announce(term, offset, primary),
+            timeout_seconds,
+        )
+        assert isinstance(answer, Accepted | Refused | Unreachable)
+        return answer
+
+    async def confirm(
+        self, position: Position, timeout_seconds: float
+    ) -> int | None:
+        return self.model.confirm(position)
+
+
+@attrs.define(eq=False)
+class FakeStore:
+    """The group's row, with outages."""
+
+    row: GroupRow | None = None
+    version: int = 0
+    down: bool = False
+    openings: list[GroupRow] = attrs.field(factory=list)
+    claims: list[tuple[int, asyncio.Event]] = attrs.field(factory=list)
+
+    async def claim(
+        self, expected: GroupRow | None, new: GroupRow
+    ) -> Stored | Conflict | StoreUnavailable:
+        await asyncio.sleep(LATENCY_SECONDS)
+        if self.down:
+            return StoreUnavailable("down")
+        if self.row != expected:
+            return Conflict(self.row)
+        self.row = new
+        self.version += 1
+        for term, claimed in self.claims:
+            if new.term >= term:
+                claimed.set()
+        if new.phase is GroupPhase.ACTIVE:
+            self.openings.append(new)
+        return Stored(self.version)
+
+    async def read(self, group: str) -> GroupRow | None | StoreUnavailable:
+        return StoreUnavailable("down") if self.down else self.row
+
+
+@attrs.define(eq=False)
+class World:
+    """The homes' agents and what they share."""
+
+    store: FakeStore = attrs.field(factory=FakeStore)
+    cut: set[tuple[str, str]] = attrs.field(factory=set)
+    refusing: set[str] = attrs.field(factory=set)
+    stopped: set[str] = attrs.field(factory=set)
+    events: list[tuple[str, str, dict[str, object]]] = attrs.field(factory=list)
+    agents: dict[str, GroupAgent] = attrs.field(factory=dict)
+    leases: dict[str, LeaseTable] = attrs.field(factory=dict)
+    timers: dict[str, TimerService] = attrs.field(factory=dict)
+    servers: dict[str, ModelServer] = attrs.field(
+        factory=lambda: {name: ModelServer(name) for name in SERVERS}
+    )
+
+    async def start(self, spec: GroupSpec) -> None:
+        for vm in HOMES:
+            self.add_home(vm, spec)
+        for vm in HOMES:
+            await self.timers[vm].start()
+            await self.agents[vm].start()
+            self.timers[vm].subscribe(
+                "head", HEAD_SECONDS, functools.partial(self.follow, vm)
+            )
+        await asyncio.sleep(3.0)
+
+    async def follow(self, vm: str, now: float) -> None:
+        """Read the row as the change log's follower does."""
+        if self.store.row is not None and not self.store.down:
+            self.agents[vm].row_changed(
+                self.store.row, self.store.version, in_order=False
+            )
+
+    def add_home(self, vm: str, spec: GroupSpec) -> None:
+        self.timers[vm] = TimerService()
+        self.leases[vm] = LeaseTable(vm)
+        self.agents[vm] = GroupAgent(
+            vm,
+            spec,
+            {
+                name: FakeServer(vm, model, self.cut, self.refusing, name)
+                for name, model in self.servers.items()
+            },
+            self.store,
+            FakePeers(self, vm),
+            self.leases[vm],
+            lambda kind, **detail: self.events.append((vm, kind, detail)),
+            self.timers[vm],
+            HOMES,
+        )
+
+    async def stop(self, vm: str) -> None:
+        """End a home as a crash does."""
+        self.stopped.add(vm)
+        await self.agents[vm].close()
+        await self.timers[vm].close()
+
+    async def close(self) -> None:
+        for vm in HOMES:
+            await self.stop(vm)
+
+    def cut_off(self, server: str, *homes: str) -> None:
+        self.cut.update((home, server) for home in homes or HOMES)
+
+    async def claimed(self, term: int) -> None:
+        """Wait until a term is claimed in the store."""
+        claimed = asyncio.Event()
+        self.store.claims.append((term, claimed))
+        await claimed.wait()
+
+    def told(self, kind: str) -> list[dict[str, object]]:
+        return [detail for _, one, detail in self.events if one == kind]
+
+    @property
+    def row(self) -> GroupRow:
+        assert self.store.row is not None
+        return self.store.row
+
+
+@attrs.define(eq=False)
+class FakePeers:
+    """The other homes' agents."""
+
+    world: World
+    vm: str
+
+    async def find(self, vm: str, timeout_seconds: float) -> GroupAgent | None:
+        await asyncio.sleep(LATENCY_SECONDS)
+        if {vm, self.vm} & self.world.stopped:
+            await asyncio.sleep(timeout_seconds)
+            return None
+        return self.world.agents[vm]
+
+    async def give_up_lease(
+        self, vm: str, group: str, term: int, timeout_seconds: float
+    ) -> bool:
+        agent = await self.find(vm, timeout_seconds)
+        return agent is not None and agent.give_up_requested(term)
+
+    async def ask_suspicion(
+        self, vm: str, group: str, timeout_seconds: float
+    ) -> PrimaryEvidence | None:
+        agent = await self.find(vm, timeout_seconds)
+        return await agent.suspicion_asked() if agent else None
+
+    async def announce_row(
+        self, vm: str, row: GroupRow, version: int, timeout_seconds: float
+    ) -> bool:
+        agent = await self.find(vm, timeout_seconds)
+        if agent is not None:
+            agent.row_announced(row, version)
+        return agent is not None
+
+
+Scenario = Callable[[World], Coroutine[Any, Any, None]]
+
+
+@pytest.fixture
+def play() -> Callable[..., World]:
+    """Return a function that runs a scenario on a started world."""
+
+    def run(scenario: Scenario, spec: GroupSpec = SPEC) -> World:
+        world = World()
+
+        async def whole() -> None:
+            await world.start(spec)
+            await scenario(world)
+            await world.close()
+
+        run_virtual(whole())
+        return world
+
+    return run
