Watch peers that hold transactions; tell loss from closing

An idle stream that was closed in order was reported as lost, which would have ended its callers transactions. A VM whose callers have transactions open can now be watched while no request is under way, so that its death is noticed within two seconds.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_links.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_links.py
@@ -11,7 +11,7 @@
 from jackdawcrank.peers.peer_connection import PeerConnection
 from jackdawcrank.peers.peer_handlers import PeerHandlers
 from jackdawcrank.peers.peer_identity import PeerIdentity
-from jackdawcrank.peers.peer_stream import PeerReply, PeerStream
+from jackdawcrank.peers.peer_stream import IsWatched, PeerReply, PeerStream
 from jackdawcrank.peers.peer_unreachable import PeerUnreachable
 from jackdawcrank.peers.request_types import Request
 from jackdawcrank.peers.streamed_answer import StreamedAnswer
@@ -37,8 +37,10 @@
     with the lower name dialed; the other one ends when it is idle.
 
     Attributes:
-      lost_callbacks: Called with a VM and a reason when the stream to it is
-        lost.
+      lost_callbacks: Called with a VM and a reason when the stream to it
+        breaks; a stream that either end closes in order is not lost.
+      is_watched: Returns whether something besides requests depends on a VM,
+        such as a transaction that one of its callers has open here.
       config_version: The configuration version told to peers on connect.
     """
 
@@ -67,6 +69,7 @@
         self.dials: dict[str, asyncio.Task[PeerStream | PeerUnreachable]] = {}
         self.backoffs: dict[str, Backoff] = {}
         self.lost_callbacks: list[LostCallback] = []
+        self.is_watched: IsWatched = lambda vm: False
         self.closings: set[asyncio.Task[None]] = set()
         self.subscription: Subscription | None = None
         self.config_version = 0
@@ -231,7 +234,12 @@
         Args:
           connection: The connection, dialed or accepted.
         """
-        stream = PeerStream(connection, self.handlers, self.forget)
+        stream = PeerStream(
+            connection,
+            self.handlers,
+            self.forget,
+            lambda vm: self.is_watched(vm),
+        )
         self.all_streams.add(stream)
         if self.prefers(stream):
             self.streams[stream.vm] = stream
@@ -266,8 +274,10 @@
           detail: Why it was lost.
         """
         self.all_streams.discard(stream)
-        if self.streams.get(stream.vm) is stream:
-            del self.streams[stream.vm]
+        if self.streams.get(stream.vm) is not stream:
+            return
+        del self.streams[stream.vm]
+        if not stream.orderly:
             for callback in self.lost_callbacks:
                 callback(stream.vm, detail)
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_stream.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_stream.py
@@ -36,6 +36,7 @@
 CLOSE_SECONDS = 5.0
 
 PeerReply = Message | StreamedAnswer | PeerUnreachable
+IsWatched = collections.abc.Callable[[str], bool]
 OnLost = collections.abc.Callable[["PeerStream", str], None]
 
 
@@ -43,8 +44,9 @@
     """Carries requests and answers of both ends over one connection.
 
     Each request has a number, and answers come in any order. While anything
-    is outstanding in either direction, a silent peer is pinged and given up
-    in less than two seconds; an idle stream costs nothing. The first message
+    is outstanding in either direction, or the peer is watched for another
+    reason, a silent peer is pinged and given up in less than two seconds; an
+    idle stream costs nothing. The first message
     after a longer pause is sent only once the peer has answered a ping, since
     a connection that went silent while idle would leave the outcome of a
     request unknown.
@@ -55,10 +57,12 @@
         connection: PeerConnection,
         handlers: PeerHandlers,
         on_lost: OnLost,
+        is_watched: IsWatched = lambda vm: False,
     ) -> None:
         self.connection = connection
         self.vm = connection.peer.vm
         self.on_lost = on_lost
+        self.is_watched = is_watched
         self.loop = asyncio.get_running_loop()
         self.outbox = Outbox(connection.writer, connection.codec)
         self.pending = PendingRequests(self.vm)
@@ -76,12 +80,18 @@
     @property
     def usable(self) -> bool:
         """Return whether the stream takes new requests."""
-        return not (self.lost or self.peer_closing or self.incoming.closing)
+        return not (self.lost or self.orderly)
+
+    @property
+    def orderly(self) -> bool:
+        """Return whether either end has said that it closes the stream."""
+        return self.peer_closing or self.incoming.closing
 
     @property
     def busy(self) -> bool:
-        """Return whether anything is outstanding in either direction."""
-        return bool(len(self.pending) or len(self.incoming))
+        """Return whether silence of the peer would matter now."""
+        outstanding = len(self.pending) or len(self.incoming)
+        return bool(outstanding) or self.is_watched(self.vm)
 
     async def start(self) -> None:
         """Begin to read the peer's messages."""
--- a/packages/jackdawcrank-proxy/tests/peers/test_peer_links.py
+++ b/packages/jackdawcrank-proxy/tests/peers/test_peer_links.py
@@ -156,6 +156,18 @@
     assert pair.relay.accepted == 2
 
 
+async def test_a_watched_peer_that_goes_silent_is_noticed(
+    pair: typing.Any, monkeypatch: pytest.MonkeyPatch, eventually: typing.Any
+) -> None:
+    monkeypatch.setattr(stream_module, "TICK_SECONDS", 0.005)
+    lost: list[str] = []
+    pair.b.links.lost_callbacks.append(lambda vm, _: lost.append(vm))
+    pair.b.links.is_watched = lambda vm: vm == "vm-a"
+    await pair.a.ask("vm-b", b"one")
+    pair.relay.freeze()
+    await eventually(lambda: lost == ["vm-a"])
+
+
 async def test_a_cut_stream_leaves_the_outcome_open(
     pair: typing.Any, eventually: typing.Any
 ) -> None:
@@ -272,11 +284,15 @@
 ) -> None:
     await pair.a.ask("vm-b", b"one")
     stream = pair.a.links.streams["vm-b"]
+    lost: list[str] = []
+    for node in (pair.a, pair.b):
+        node.links.lost_callbacks.append(lambda vm, _: lost.append(vm))
     await pair.a.links.close_idle(0.0)
     assert stream.usable
     stream.used_at -= 100.0
     await pair.a.links.close_idle(0.0)
-    await eventually(lambda: stream.lost)
+    await eventually(lambda: stream.lost and not pair.b.links.streams)
+    assert lost == []
     assert info(await pair.a.ask("vm-b", b"two")) == "two"
 
 
