Plan writers by seat and trust only rows seen in order

Cause: the homes' connection budget lists writers by seat with departed VMs marked, which promotions and upkeep wrote over; a batch of changes taken as one row could hide a writer that had left, and a row opened by this VM itself was not taken for an opening. Change: next writers come from plan_seats, promises are asked of the named writers only, rows count as out of order unless this VM wrote them, and a server that is declared anew gets a new probe in place of the old one.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/row_history.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/row_history.py
@@ -2,9 +2,12 @@
 
 import attrs
 
+from jackdawcrank_policy.budget import departed, writer_names
 from jackdawcrank_policy.lease import LEASE_CLOSING_SECONDS
 from jackdawcrank_policy.values import GroupPhase, GroupRow
 
+SEAT_RELEASE_SECONDS = 75.0
+
 
 @attrs.define
 class RowHistory:
@@ -23,6 +26,7 @@
         term opened.
       preparing_since: When a claim above the last open term was first seen;
         every lease of that term has ended `LEASE_CLOSING_SECONDS` later.
+      departed_since: When each departed VM was first seen as such.
     """
 
     row: GroupRow | None = None
@@ -30,6 +34,7 @@
     quick_from: float = 0.0
     writers_complete: bool = False
     preparing_since: float | None = None
+    departed_since: dict[str, float] = attrs.field(factory=dict)
 
     def observe(
         self, row: GroupRow, version: int, now: float, in_order: bool
@@ -47,11 +52,14 @@
         earlier = self.row
         self.row = row
         self.version = version
+        self.departed_since = {
+            vm: self.departed_since.get(vm, now) for vm in departed(row.writers)
+        }
         if row.phase is GroupPhase.PREPARING:
             self.claim_seen(now)
             return True
         self.preparing_since = None
-        if earlier is not None and in_order and earlier.term < row.term:
+        if earlier is not None and in_order and _opened(earlier, row):
             self.writers_complete = True
             self.quick_from = now
         elif not in_order or earlier is None or _shrank(earlier, row):
@@ -68,6 +76,18 @@
         if self.preparing_since is None:
             self.preparing_since = now
 
+    def freed(self, now: float) -> frozenset[str]:
+        """Return the departed VMs whose connections have run out.
+
+        Args:
+          now: The present time, in seconds.
+        """
+        return frozenset(
+            vm
+            for vm, since in self.departed_since.items()
+            if now >= since + SEAT_RELEASE_SECONDS
+        )
+
     def leases_out_at(self) -> float | None:
         """Return when all leases of the last open term have ended, if known."""
         if self.preparing_since is None:
@@ -76,4 +96,10 @@
 
 
 def _shrank(earlier: GroupRow, row: GroupRow) -> bool:
-    return not set(earlier.writers) <= set(row.writers)
+    return not set(writer_names(earlier.writers)) <= set(row.writers)
+
+
+def _opened(earlier: GroupRow, row: GroupRow) -> bool:
+    """Return whether a term opened between two rows."""
+    claimed = earlier.phase is GroupPhase.PREPARING
+    return claimed or earlier.term < row.term
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/upkeep.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/upkeep.py
@@ -2,12 +2,17 @@
 
 import attrs
 
+from jackdawcrank_policy.budget import plan_seats
 from jackdawcrank_policy.coordination.takeover import acting_coordinator
 from jackdawcrank_policy.values import GroupPhase, GroupRow
 
 
 def upkeep(
-    row: GroupRow, vm: str, homes: tuple[str, ...], live: frozenset[str]
+    row: GroupRow,
+    vm: str,
+    homes: tuple[str, ...],
+    live: frozenset[str],
+    freed: frozenset[str] = frozenset(),
 ) -> GroupRow | None:
     """Return the row as the acting coordinator would have it, or None.
 
@@ -21,11 +26,13 @@
       vm: The VM that acts for the group.
       homes: The group's homes, in the order on which all VMs agree.
       live: The VMs that are known to be alive.
+      freed: Departed VMs whose connections have run out.
     """
     if row.phase is not GroupPhase.ACTIVE:
         return None
     if acting_coordinator(row.coordinator, homes, live) != vm:
         return None
-    writers = tuple(home for home in homes if home in live)
+    wanted_homes = [home for home in homes if home in live]
+    writers = plan_seats(row.writers, wanted_homes, freed)
     wanted = attrs.evolve(row, writers=writers, coordinator=vm)
     return None if wanted == row else wanted
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/plan.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/plan.py
@@ -5,6 +5,7 @@
 import attrs
 
 from jackdawcrank_policy.acknowledgement import Quorum
+from jackdawcrank_policy.budget import writer_names
 from jackdawcrank_policy.values import Branch, GroupPhase, GroupRow
 
 
@@ -36,7 +37,7 @@
       cause: Why the term is claimed.
       expected: The group's row, or None for a group without one.
       servers: The group's backend servers.
-      writers: The VMs that may hold the lease of the new term.
+      writers: The writers of the new term, by seat.
       target: The server that a planned switch-over moves to.
       avoid: Servers that are chosen only if they are the most advanced.
       highest_term: The highest fence term that a server has reported.
@@ -80,7 +81,7 @@
     @property
     def old_writers(self) -> tuple[str, ...]:
         """Return the VMs that may hold leases of earlier terms."""
-        return self.expected.writers if self.expected else ()
+        return writer_names(self.expected.writers if self.expected else ())
 
     @property
     def old_term(self) -> int:
@@ -103,6 +104,6 @@
             phase=GroupPhase.PREPARING,
             primary=self.expected.primary if self.expected else "",
             coordinator=self.vm,
-            writers=self.old_writers,
+            writers=self.expected.writers if self.expected else (),
             branch=self.branch,
         )
--- a/packages/jackdawcrank-policy/tests/coordination/test_coordination.py
+++ b/packages/jackdawcrank-policy/tests/coordination/test_coordination.py
@@ -53,10 +53,13 @@
     live = frozenset({"vm1", "vm3"})
     wanted = upkeep(ROW, "vm1", HOMES, live)
     assert wanted is not None
-    assert (wanted.writers, wanted.coordinator) == (("vm1", "vm3"), "vm1")
+    assert wanted.writers[:3] == ("vm1", "!vm2", "vm3")
+    assert wanted.coordinator == "vm1"
     assert wanted.term == ROW.term
     assert upkeep(wanted, "vm1", HOMES, live) is None
     assert upkeep(ROW, "vm3", HOMES, live) is None
+    later = upkeep(wanted, "vm1", HOMES, live, frozenset({"vm2"}))
+    assert later is not None and later.writers[:3] == ("vm1", "", "vm3")
 
 
 @pytest.mark.parametrize(
@@ -98,6 +101,27 @@
     assert not history.writers_complete
 
 
+def test_a_term_that_this_vm_opened_has_no_other_writers() -> None:
+    history = RowHistory()
+    history.observe(ROW, 1, 10.0, in_order=False)
+    claim = attrs.evolve(ROW, term=3, phase=GroupPhase.PREPARING)
+    history.observe(claim, 2, 20.0, in_order=True)
+    opened = attrs.evolve(claim, phase=GroupPhase.ACTIVE, writers=("vm3",))
+    history.observe(opened, 3, 24.0, in_order=True)
+    assert (history.quick_from, history.writers_complete) == (24.0, True)
+
+
+def test_a_departed_vm_s_seat_is_freed_after_its_connections() -> None:
+    history = RowHistory()
+    left = attrs.evolve(ROW, writers=("vm1", "!vm2"))
+    history.observe(left, 1, 10.0, in_order=True)
+    history.observe(
+        attrs.evolve(left, coordinator="vm1"), 2, 60.0, in_order=True
+    )
+    assert history.freed(84.0) == frozenset()
+    assert history.freed(86.0) == {"vm2"}
+
+
 def test_a_row_that_skipped_changes_is_not_trusted() -> None:
     history = RowHistory()
     history.observe(ROW, 1, 10.0, in_order=True)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_agent.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_agent.py
@@ -21,6 +21,7 @@
     SwitchOverOutcome,
 )
 from jackdawcrank.timer import Subscription, Timer
+from jackdawcrank_policy.budget import writer_names
 from jackdawcrank_policy.coordination import upkeep
 from jackdawcrank_policy.detection import PrimaryEvidence
 from jackdawcrank_policy.lease import LeaseTable
@@ -173,14 +174,16 @@
         await self.probes.remove(name)
 
     def row_changed(
-        self, row: GroupRow, version: int, in_order: bool = True
+        self, row: GroupRow, version: int, in_order: bool = False
     ) -> None:
         """Take a row of the group; older ones are ignored.
 
         Args:
           row: The row.
           version: The change log's version at which it was written.
-          in_order: Whether it comes from the change log without a gap.
+          in_order: Whether no change of the row lies between it and the one
+            known before; without it, a promotion relies on the writers'
+            promises only once earlier leases have run out.
         """
         context = self.context
         earlier = context.row
@@ -196,7 +199,7 @@
 
     def row_announced(self, row: GroupRow, version: int) -> None:
         """Take a row that another VM pushed ahead of the change log."""
-        self.row_changed(row, version, in_order=False)
+        self.row_changed(row, version)
 
     def give_up_requested(self, term: int) -> bool:
         """Answer a coordinator: promise to act for no term below its claim.
@@ -305,10 +308,11 @@
 
     def store_row(self, row: GroupRow, version: int) -> None:
         """Apply a row that this VM wrote and tell the other homes."""
-        self.row_changed(row, version)
+        self.row_changed(row, version, in_order=True)
         if self.on_row is not None:
             self.on_row(row, version)
-        for home in dict.fromkeys((*self.context.homes, *row.writers)):
+        writers = writer_names(row.writers)
+        for home in dict.fromkeys((*self.context.homes, *writers)):
             if home != self.context.vm:
                 self.context.tasks.spawn(self.announce_row(home, row, version))
 
@@ -328,7 +332,8 @@
             return
         if now - self.homes_since < UPKEEP_STEADY_SECONDS:
             return
-        wanted = upkeep(row, context.vm, context.homes, context.live)
+        freed = context.history.freed(now)
+        wanted = upkeep(row, context.vm, context.homes, context.live, freed)
         if wanted is None:
             return
         outcome = await context.store.claim(row, wanted)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_context.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_context.py
@@ -10,6 +10,7 @@
 from jackdawcrank.groups.group_peers import GroupPeers
 from jackdawcrank.groups.group_store import GroupStore
 from jackdawcrank.timer import Timer
+from jackdawcrank_policy.budget import plan_seats
 from jackdawcrank_policy.coordination import (
     RowHistory,
     acting_coordinator,
@@ -81,6 +82,14 @@
         """Return how many homes act before this VM; None if it is no home."""
         return rank(self.vm, self.coordinator, self.homes)
 
+    def next_writers(self) -> tuple[str, ...]:
+        """Return the writers, by seat, that the next row should have."""
+        return plan_seats(
+            self.row.writers if self.row else (),
+            [home for home in self.homes if home in self.live],
+            self.history.freed(self.timer.now()),
+        )
+
     def tell(self, kind: EventKind, **detail: object) -> None:
         """Record an event of the group."""
         term = self.row.term if self.row else 0
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_probes.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_probes.py
@@ -63,7 +63,10 @@
         await asyncio.gather(*(one.close() for one in self.probes.values()))
 
     def add(self, server: ServerControl) -> None:
-        """Probe a server that joined the group."""
+        """Probe a server that joined the group or was declared anew."""
+        earlier = self.probes.get(server.name)
+        if earlier is not None:
+            earlier.stop()
         probe = ServerProbe(
             server, CALM_INTERVAL_SECONDS, self.timer, self.take_result
         )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_driver.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_driver.py
@@ -95,9 +95,7 @@
             cause=cause,
             expected=context.row,
             servers=tuple(sorted(context.servers)),
-            writers=tuple(
-                home for home in context.homes if home in context.live
-            ),
+            writers=context.next_writers(),
             target=target,
             avoid=avoid,
             highest_term=max((one.term for one in reports), default=0),
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/server_probe.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/server_probe.py
@@ -45,11 +45,15 @@
         """Begin to probe."""
         self.arm(0.0)
 
-    async def close(self) -> None:
-        """Stop probing."""
+    def stop(self) -> None:
+        """Plan no further probe and report no result."""
         self.closed = True
         if self.next_call is not None:
             self.next_call.close()
+
+    async def close(self) -> None:
+        """Stop probing and cancel a probe under way."""
+        self.stop()
         if self.running is not None:
             self.running.cancel()
             await asyncio.gather(self.running, return_exceptions=True)
--- a/packages/jackdawcrank-proxy/tests/groups/conftest.py
+++ b/packages/jackdawcrank-proxy/tests/groups/conftest.py
@@ -150,9 +150,7 @@
     async def follow(self, vm: str, now: float) -> None:
         """Read the row as the change log's follower does."""
         if self.store.row is not None and not self.store.down:
-            self.agents[vm].row_changed(
-                self.store.row, self.store.version, in_order=False
-            )
+            self.agents[vm].row_changed(self.store.row, self.store.version)
 
     def add_home(self, vm: str, spec: GroupSpec) -> None:
         self.timers[vm] = TimerService()
--- a/packages/jackdawcrank-proxy/tests/groups/test_group_agent.py
+++ b/packages/jackdawcrank-proxy/tests/groups/test_group_agent.py
@@ -7,6 +7,7 @@
 import pytest
 
 from jackdawcrank.groups import Incomplete, Moved, Refused
+from jackdawcrank_policy.budget import writer_names
 from jackdawcrank_policy.promotion import AbandonReason
 from jackdawcrank_policy.values import GroupPhase, GroupSpec
 
@@ -237,7 +238,7 @@
         for vm in live:
             world.agents[vm].homes_changed(("vm1", "vm2", "vm3"), live)
         await asyncio.sleep(5.0)
-        assert set(world.row.writers) == live
+        assert set(writer_names(world.row.writers)) == live
         assert world.row.coordinator in live
 
     assert play(scenario).row.term == 1
