Bound what one flush of metrics sends

Lines followed the number of groups, which at 1,100 groups would pass the control budget of a VM. A flush now sends at most 400 lines; counters and gauges wait their turn, timing samples are dropped.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/metrics/metrics.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/metrics/metrics.py
@@ -1,6 +1,8 @@
 """Collection of metrics and their way to statsd."""
 
 import collections
+import collections.abc
+import itertools
 import re
 
 import attrs
@@ -10,6 +12,7 @@
 
 FLUSH_INTERVAL_SECONDS = 10.0
 MAX_SAMPLES = 100
+MAX_LINES_PER_FLUSH = 400
 MAX_DATAGRAM_BYTES = 1400
 MILLISECONDS_PER_SECOND = 1000
 UNSAFE_CHARACTERS = re.compile(r"[^A-Za-z0-9_-]")
@@ -49,7 +52,9 @@
 class Metrics:
     """Adds metrics up in memory and sends what changed when flushed.
 
-    Without a statsd host nothing is sent, and the values are still there for
+    One flush sends a bounded number of lines, so that the traffic does not
+    follow the number of groups. Counters and gauges that do not fit wait for
+    the next flush; samples of timings that do not fit are dropped. Without a statsd host nothing is sent, and the values are still there for
     the status page.
     """
 
@@ -66,7 +71,8 @@
         self.counters: collections.Counter[Key] = collections.Counter()
         self.unsent: collections.Counter[Key] = collections.Counter()
         self.gauges: dict[Key, float] = {}
-        self.changed_gauges: set[Key] = set()
+        # Keys in the order of their change, as a dict keeps it.
+        self.changed_gauges: dict[Key, None] = {}
         self.timings: dict[Key, TimingTotals] = {}
 
     async def start(self) -> None:
@@ -101,7 +107,7 @@
         key = (spec, group)
         if self.gauges.get(key) != value:
             self.gauges[key] = value
-            self.changed_gauges.add(key)
+            self.changed_gauges[key] = None
 
     def timing(self, spec: MetricSpec, seconds: float, group: str = "") -> None:
         """Add a duration.
@@ -124,24 +130,36 @@
         if self.client:
             with self.client.pipeline() as pipeline:
                 self.send(pipeline)
-        self.unsent.clear()
-        self.changed_gauges.clear()
         for totals in self.timings.values():
             totals.samples.clear()
 
     def send(self, pipeline: "statsd.client.base.PipelineBase") -> None:
-        """Write what changed into datagrams.
+        """Write what changed into datagrams, as far as the bound allows.
 
         Args:
           pipeline: The statsd client's pipeline.
         """
-        for key, value in self.unsent.items():
-            pipeline.incr(metric_path(key), value)
-        for key in self.changed_gauges:
+        counters = list(self.unsent)[: MAX_LINES_PER_FLUSH // 2]
+        for key in counters:
+            pipeline.incr(metric_path(key), self.unsent.pop(key))
+        gauges = list(self.changed_gauges)[: MAX_LINES_PER_FLUSH // 4]
+        for key in gauges:
+            del self.changed_gauges[key]
             pipeline.gauge(metric_path(key), self.gauges[key])
-        for key, totals in self.timings.items():
-            for sample in totals.samples:
-                pipeline.timing(metric_path(key), sample)
+        room = MAX_LINES_PER_FLUSH - len(counters) - len(gauges)
+        for key, sample in itertools.islice(self.samples(), room):
+            pipeline.timing(metric_path(key), sample)
+
+    def samples(self) -> collections.abc.Iterator[tuple[Key, float]]:
+        """Yield the timings' samples, one of each metric and group in turn."""
+        rounds = itertools.zip_longest(
+            *(
+                [(key, sample) for sample in totals.samples]
+                for key, totals in self.timings.items()
+            )
+        )
+        for pairs in rounds:
+            yield from (pair for pair in pairs if pair is not None)
 
     def snapshot(self) -> dict[str, float]:
         """Return every value since the start, by its path."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_links.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_links.py
@@ -238,7 +238,7 @@
             connection,
             self.handlers,
             self.forget,
-            lambda vm: self.is_watched(vm),
+            self.watched,
         )
         self.all_streams.add(stream)
         if self.prefers(stream):
@@ -266,6 +266,14 @@
             or current.connection.dialer != preferred
         )
 
+    def watched(self, vm: str) -> bool:
+        """Return whether a VM's silence matters without any request.
+
+        Args:
+          vm: The VM.
+        """
+        return self.is_watched(vm)
+
     def forget(self, stream: PeerStream, detail: str) -> None:
         """Use a lost stream no more.
 
--- a/packages/jackdawcrank-proxy/tests/metrics/test_metrics.py
+++ b/packages/jackdawcrank-proxy/tests/metrics/test_metrics.py
@@ -6,6 +6,7 @@
 import pytest
 
 from jackdawcrank.metrics import METRICS, Metrics, names
+from jackdawcrank.metrics import metrics as metrics_module
 
 Receive = collections.abc.Callable[[], set[str]]
 
@@ -40,6 +41,30 @@
     assert statsd_socket.recv(2000) == b"jc.vm-1.refused:1|c"
 
 
+async def test_a_flush_is_bounded_and_loses_no_count(
+    statsd_socket: socket.socket, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(metrics_module, "MAX_LINES_PER_FLUSH", 4)
+    metrics = Metrics("127.0.0.1", statsd_socket.getsockname()[1], "jc")
+    await metrics.start()
+    received: list[str] = []
+    for turn in range(9):
+        for number in range(3):
+            metrics.count(names.WRITES, 1 if turn < 4 else 0, f"g{number}")
+            metrics.gauge(names.LEASES, number, f"g{number}")
+        metrics.timing(names.STORE_TIME, 0.001)
+        metrics.timing(names.STORE_TIME, 0.001)
+        await metrics.flush(0.0)
+        lines = statsd_socket.recv(2000).decode().splitlines()
+        assert len(lines) <= 4
+        received += lines
+    counts = [line for line in received if line.startswith("jc.writes.g1:")]
+    assert sum(int(line.split(":")[1][:-2]) for line in counts) == 4
+    gauges = {line.split(":")[0] for line in received if line.endswith("g")}
+    assert gauges == {"jc.leases.g0", "jc.leases.g1", "jc.leases.g2"}
+    await metrics.close()
+
+
 async def test_a_snapshot_needs_no_statsd() -> None:
     metrics = Metrics()
     await metrics.start()
