--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/session_reads.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/session_reads.py
@@ -56,9 +56,10 @@
         mark = self.marks.get(group)
         if mark is None:
             return None
-        mark = mark.on_clock(observer, now).resolved(evidence)
-        self.marks[group] = mark
-        return mark.hold(evidence.branch.term)
+        judged = mark.on_clock(observer, now).resolved(evidence)
+        if judged.bound is not None:
+            self.marks[group] = judged
+        return judged.hold(evidence.branch.term)
 
     def forget(self, group: str) -> None:
         """Drop a group, after its bound went into the token or was lost."""
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/tokens/session_token.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/tokens/session_token.py
@@ -38,6 +38,11 @@
         """Return whether the token can take an entry of a group."""
         return len(self.seen) < MAX_GROUPS or self.position(group) is not None
 
+    def judged_by(self, group: str, branch: Branch) -> bool:
+        """Return whether a branch is new enough to judge a group's entry."""
+        position = self.position(group)
+        return position is None or position.term <= branch.term
+
     def advanced(
         self, group: str, position: Position, branch: Branch
     ) -> "SessionToken":
@@ -49,14 +54,15 @@
         Args:
           group: The group's name.
           position: The position of a write or an upper bound of a read.
-          branch: The group's branch, at least as new as the position's term.
+          branch: The group's branch, at least as new as the terms of the
+            position and of the token's entry.
 
         Raises:
-          ValueError: The branch does not know the position's term yet, or
-            the token has no room for another group.
+          ValueError: The branch is older than that, or the token has no room
+            for another group.
         """
-        if position.term > branch.term:
-            raise ValueError(f"term {position.term} is not on the branch")
+        if position.term > branch.term or not self.judged_by(group, branch):
+            raise ValueError(f"the branch ends at term {branch.term}")
         if not self.has_room(group):
             raise ValueError("the token has no room for another group")
         newest = newest_seen(self.position(group), position, branch)
--- a/packages/jackdawcrank-policy/tests/tokens/test_session_token.py
+++ b/packages/jackdawcrank-policy/tests/tokens/test_session_token.py
@@ -32,8 +32,13 @@
 
 
 def test_a_term_that_the_branch_does_not_know_is_refused() -> None:
-    with pytest.raises(ValueError, match="not on the branch"):
+    with pytest.raises(ValueError, match="ends at term 2"):
         token_at(3, 99)
+    old_branch = Branch(BRANCH.starts[:1])
+    token = token_at(2, 60)
+    assert not token.judged_by("ledger", old_branch)
+    with pytest.raises(ValueError, match="ends at term 1"):
+        token.advanced("ledger", Position(1, 55), old_branch)
 
 
 def test_a_full_token_never_drops_an_entry() -> None:
