--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/requests/request_record.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/requests/request_record.py
@@ -72,4 +72,6 @@
 
 def digest_statement(statement: str) -> str:
     """Return the 32-character digest of a statement without its options."""
-    return xxhash.xxh3_128_hexdigest(statement.encode())
+    return xxhash.xxh3_128_hexdigest(
+        statement.encode("utf-8", "surrogateescape")
+    )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/request_records.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/request_records.py
@@ -30,13 +30,14 @@
     StatementDone,
     StatementReply,
     digest_statement,
+    is_request_id,
 )
 from jackdawcrank_policy.requests.request_record import (
     INSERT_RECORD,
     SELECT_RECORD,
     RequestRecord,
 )
-from jackdawcrank_policy.values import Failed, NotRun, Unknown
+from jackdawcrank_policy.values import Failed, NotRun, NotRunReason, Unknown
 from jackdawcrank_wire.messages import StatementRequest
 
 DUPLICATE_KEY = 1062
@@ -130,7 +131,7 @@
           implicit_commit: Whether the statement commits by itself.
           deadline: When the caller gives up, on the monotonic clock.
         """
-        sql = request.sql.decode()
+        sql = request.sql.decode("utf-8", "surrogateescape")
         execution = RequestExecution(
             request.request_id,
             digest_statement(sql),
@@ -179,6 +180,8 @@
           request_id: The request id.
           deadline: When the caller gives up, on the monotonic clock.
         """
+        if not is_request_id(request_id):
+            return NotRun(NotRunReason.BAD_OPTION, "malformed request id")
         while True:
             primary = await self.state.wait_for_primary(deadline)
             if isinstance(primary, NotRun):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
@@ -167,7 +167,7 @@
         )
         if isinstance(link, NotStarted):
             return await self._judge(link, primary, deadline)
-        kind = classify(request.sql.decode()).kind
+        kind = classify(request.sql.decode("utf-8", "surrogateescape")).kind
         implicit = kind is FrontKind.IMPLICIT_COMMIT
         self.state.busy_links[link] = primary.term
         try:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_connection.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_connection.py
@@ -8,6 +8,7 @@
 from mysql_mimic import ColumnType, ResultColumn, packets
 from mysql_mimic.connection import Connection
 from mysql_mimic.errors import MysqlError
+from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.stream import ConnectionClosed
 from mysql_mimic.types import Commands, ServerStatus
 
@@ -17,6 +18,12 @@
     StatementTooLarge,
 )
 from jackdawcrank.front.caller_session import CallerSession
+from jackdawcrank.front.execute_command import (
+    Prepared,
+    decode_sql,
+    read_execute,
+    read_query,
+)
 from jackdawcrank.front.packets import (
     column_count_packet,
     column_packet,
@@ -24,6 +31,7 @@
     framed,
     ok_packet,
 )
+from jackdawcrank.front.prepared_text import split_placeholders
 from jackdawcrank.results.errors import not_run, not_supported, shutting_down
 from jackdawcrank_wire.messages import (
     ResultError,
@@ -62,6 +70,8 @@
         super().__init__(**kwargs)
         self.reader = reader
         self.login_timeout_seconds = login_timeout_seconds
+        self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        self.prepared: dict[int, Prepared] = {}
         self.busy = False
         self.closing = False
         self.logged_in = False
@@ -130,12 +140,8 @@
         Args:
           data: The command without its first byte.
         """
-        query = packets.parse_com_query(
-            capabilities=self.capabilities,
-            client_charset=self.client_charset,
-            data=data,
-        )
-        result = await self.session.handle(query.sql, query.query_attrs)
+        command = read_query(data, self.capabilities)
+        result = await self.session.handle(command.sql, command.attributes)
         await self._write_result(result)
 
     async def handle_stmt_prepare(self, data: bytes) -> None:
@@ -148,7 +154,38 @@
             error = not_supported("too many prepared statements")
             await self.stream.write(error_packet(error))
             return
-        await super().handle_stmt_prepare(data)
+        text = split_placeholders(decode_sql(data))
+        number = next(self.prepared_stmt_seq)
+        statement = PreparedStatement(number, "", text.parameter_count)
+        self.prepared_stmts[number] = statement
+        self.prepared[number] = Prepared(text)
+        for packet in self.com_stmt_prepare_response(statement):
+            await self.stream.write(packet, drain=False)
+        await self.stream.drain()
+
+    async def handle_stmt_close(self, data: bytes) -> None:
+        """Forget a prepared statement.
+
+        Args:
+          data: The command without its first byte.
+        """
+        await super().handle_stmt_close(data)
+        number = packets.parse_com_stmt_close(data).stmt_id
+        self.prepared.pop(number, None)
+
+    async def handle_stmt_send_long_data(self, data: bytes) -> None:
+        """Take a part of a parameter's value ahead of the execution.
+
+        Args:
+          data: The command without its first byte.
+        """
+        part = packets.parse_com_stmt_send_long_data(data)
+        prepared = self.prepared.get(part.stmt_id)
+        if prepared is None:
+            return
+        value = prepared.long_data.setdefault(part.param_id, bytearray())
+        if len(value) + len(part.data) <= self.reader.max_bytes:
+            value.extend(part.data)
 
     async def handle_stmt_execute(self, data: bytes) -> None:
         """Run a prepared statement and answer in the binary protocol.
@@ -156,18 +193,15 @@
         Args:
           data: The command without its first byte.
         """
-        command = packets.parse_com_stmt_execute(
-            capabilities=self.capabilities,
-            client_charset=self.client_charset,
-            data=data,
-            get_stmt=self.get_stmt,
-        )
-        command.stmt.param_buffers = None
-        result = await self.session.handle(command.sql, command.query_attrs)
+        statement = self.get_stmt(int.from_bytes(data[:4], "little"))
+        prepared = self.prepared[statement.stmt_id]
+        command = read_execute(data, prepared, self.capabilities)
+        prepared.long_data.clear()
+        result = await self.session.handle(command.sql, command.attributes)
         if not isinstance(result, ResultRows):
             await self._write_result(result)
         elif command.use_cursor:
-            await self._open_cursor(command.stmt, result)
+            await self._open_cursor(statement, result)
         else:
             await self._write_binary_rows(result)
 
@@ -178,7 +212,7 @@
           data: The command without its first byte.
         """
         statement = self.get_stmt(packets.parse_com_stmt_reset(data).stmt_id)
-        statement.param_buffers = None
+        self.prepared[statement.stmt_id].long_data.clear()
         statement.cursor = None
         await self.stream.write(self.ok())
 
@@ -189,6 +223,7 @@
           data: The command without its first byte.
         """
         self.prepared_stmts.clear()
+        self.prepared.clear()
         await self.session.reset()
         await self.stream.write(self.ok())
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
@@ -9,6 +9,7 @@
 from mysql_mimic.variables import GlobalVariables
 from mysql_mimic.variables import SessionVariables as DriverVariables
 
+from jackdawcrank.front.execute_command import encode_sql
 from jackdawcrank.front.session_variables import SessionVariables
 from jackdawcrank.front.statement_router import StatementRouter
 from jackdawcrank.front.transaction import Transaction
@@ -24,6 +25,7 @@
     parse_set,
     split_options,
 )
+from jackdawcrank_policy.requests import is_request_id
 from jackdawcrank_policy.tokens import ForgedToken, SessionToken
 from jackdawcrank_policy.values import (
     Branch,
@@ -241,6 +243,8 @@
     async def _show_request(
         self, statement: Statement, sql: str, options: Options
     ) -> StatementResult:
+        if not is_request_id(statement.argument):
+            return not_run("bad_option", "malformed request id", 1210)
         asked = Options(
             request_id=statement.argument, deadline_ms=options.deadline_ms
         )
@@ -379,7 +383,7 @@
         age_ms = int((time.monotonic() - ended_at) * 1000) if server else None
         return StatementRequest(
             group=group,
-            sql=sql.encode(),
+            sql=encode_sql(sql),
             caller=self.username or "",
             caller_class=self.router.caller_class(self.username or ""),
             session_id=self.session_id,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/statements/options.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/statements/options.py
@@ -7,10 +7,11 @@
 
 import attrs
 
+from jackdawcrank_policy.requests import is_request_id
+
 MAX_TOKEN_LENGTH = 512
 MAX_AGE_MS = 24 * 60 * 60 * 1000
 MAX_DEADLINE_MS = 60 * 60 * 1000
-_REQUEST_ID = re.compile(r"[A-Za-z0-9._:@/+=-]{1,64}")
 _YES = frozenset({"yes", "true", "1", "on"})
 _NO = frozenset({"no", "false", "0", "off"})
 
@@ -87,8 +88,8 @@
 
 
 def _request_id(text: str) -> str:
-    if not _REQUEST_ID.fullmatch(text):
-        raise _Malformed("is not 1 to 64 letters, digits or ._:@/+=-")
+    if not is_request_id(text):
+        raise _Malformed("is not 1 to 64 letters, digits or ._:/-")
     return text
 
 
