--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_agent.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_agent.py
@@ -267,9 +267,18 @@
         lag = end_offset - reports[chosen].position.offset
         if lag > MAX_SWITCH_OVER_LAG:
             return Refused(f"{chosen} is {lag} entries behind")
+        await self.wait_for_promises()
+        if self.driver.busy or self.context.row != row:
+            return Refused("the group changed meanwhile")
         cause = PromotionCause.SWITCH_OVER
         return _to_outcome(await self.driver.promote(cause, chosen))
 
+    async def wait_for_promises(self) -> None:
+        """Wait until the writers' promises suffice to close the leases."""
+        left = self.context.history.quick_from - self.context.timer.now()
+        if left > 0:
+            await self.context.pause(left)
+
     async def force_promote(
         self, target: str | None = None
     ) -> SwitchOverOutcome:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_probes.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_probes.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from jackdawcrank.backend.server_control import ServerControl
+from jackdawcrank.backend.server_control import ServerControl, Unreachable
 from jackdawcrank.groups.probe_result import ProbeResult
 from jackdawcrank.groups.server_probe import ServerProbe
 from jackdawcrank.timer import Timer
@@ -19,6 +19,7 @@
 )
 
 CALM_INTERVAL_SECONDS = 1.0
+CALM_PRIMARY_INTERVAL_SECONDS = 0.5
 FRESH_SECONDS = 0.3
 RECENT_SECONDS = 2.0
 TAKE_OFFICE_SECONDS = 1.0
@@ -105,9 +106,13 @@
         """Probe often while coordinating, in a new term or in suspicion."""
         new = self.timer.now() - self.row_since < NEW_TERM_SECONDS
         hasty = self.coordinating or self.detector.misses > 0 or new
-        interval = PROBE_INTERVAL_SECONDS if hasty else CALM_INTERVAL_SECONDS
-        for probe in self.probes.values():
-            probe.hasten(interval)
+        for name, probe in self.probes.items():
+            if hasty:
+                probe.hasten(PROBE_INTERVAL_SECONDS)
+            elif name == self.primary:
+                probe.hasten(CALM_PRIMARY_INTERVAL_SECONDS)
+            else:
+                probe.hasten(CALM_INTERVAL_SECONDS)
 
     def take_result(self, result: ProbeResult) -> None:
         """Feed the detector with a probe's result."""
@@ -164,6 +169,25 @@
         if probe is not None:
             probe.arm(0.0)
 
+    async def answers_now(self, timeout_seconds: float) -> bool:
+        """Look at the primary once more; return whether it serves.
+
+        Args:
+          timeout_seconds: The longest that this may take.
+        """
+        probe = self.probes.get(self.primary)
+        if probe is None:
+            return False
+        sent_at = self.timer.now()
+        report = await probe.server.probe(timeout_seconds)
+        if isinstance(report, Unreachable):
+            return False
+        now = self.timer.now()
+        if not self.serves(report, now):
+            return False
+        self.detector.answered(sent_at, now)
+        return True
+
     async def refresh_primary(self) -> None:
         """Probe the primary unless its newest answer is fresh."""
         probe = self.probes.get(self.primary)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/primary_watch.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/primary_watch.py
@@ -20,8 +20,9 @@
 from jackdawcrank_policy.values import GroupPhase, GroupRow
 from jackdawcrank_wire.events import EventKind
 
-EARLY_MISSES = 2
-EVIDENCE_SECONDS = 0.6
+EARLY_MISSES = 1
+LAST_LOOK_SECONDS = 0.15
+EVIDENCE_SECONDS = 0.8
 RECHECK_SECONDS = 0.02
 RETRY_SECONDS = 0.25
 BLOCKED_RETRY_SECONDS = 1.0
@@ -97,12 +98,12 @@
     async def consider_once(self, row: GroupRow) -> bool:
         """Judge a silent primary once; return whether to judge it again."""
         now = self.context.timer.now
-        asked_at = now()
         judgement = await self.ask()
+        judged_at = now()
         health = await self.own_suspicion(row)
         if health is None or self.context.row != row or self.driver.busy:
             return False
-        if now() - asked_at > EVIDENCE_SECONDS:
+        if now() - judged_at > EVIDENCE_SECONDS:
             judgement = await self.ask()
             if self.context.row != row or self.driver.busy:
                 return False
@@ -111,6 +112,9 @@
         if obstacle:
             self.context.block(obstacle)
             return True
+        answers = await self.probes.answers_now(LAST_LOOK_SECONDS)
+        if answers or self.context.row != row or self.driver.busy:
+            return False
         end = await self.driver.promote(PromotionCause.FAILURE)
         if not isinstance(end, Abandoned):
             return False
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_runner.py
@@ -50,9 +50,10 @@
     TimerFired,
     Unreachable,
 )
-from jackdawcrank_policy.values import GroupRow
+from jackdawcrank_policy.values import GroupRow, ServerReport
 
 SERVER_TIMEOUT_SECONDS = 0.5
+FENCE_HEAD_START_SECONDS = 0.005
 GIVE_UP_TIMEOUT_SECONDS = 0.5
 GIVE_UP_TRIES = 6
 
@@ -185,21 +186,36 @@
                 self.post(StoreLost())
 
     async def fence(self, action: FenceServer) -> None:
-        """Fence a server, then read its position."""
+        """Fence a server and read its position from after the fence.
+
+        Both are sent in one go. A report that shows the claimed term was
+        made after the fence; any other is asked for again.
+        """
         server = self.servers[action.server]
-        answer = await server.fence(action.term, SERVER_TIMEOUT_SECONDS)
+        report, answer = await asyncio.gather(
+            self.probe_behind_fence(server),
+            server.fence(action.term, SERVER_TIMEOUT_SECONDS),
+        )
         if isinstance(answer, Refused):
             self.post(FenceRefused(action.server, answer.detail))
             return
         if isinstance(answer, ServerUnreachable):
             self.post(Unreachable(action.server))
             return
-        report = await server.probe(SERVER_TIMEOUT_SECONDS)
+        if isinstance(report, ServerUnreachable) or report.term < action.term:
+            report = await server.probe(SERVER_TIMEOUT_SECONDS)
         if isinstance(report, ServerUnreachable):
             self.post(Unreachable(action.server))
         else:
             self.post(Fenced(report))
 
+    async def probe_behind_fence(
+        self, server: ServerControl
+    ) -> ServerReport | ServerUnreachable:
+        """Probe a server just after a fence was sent."""
+        await asyncio.sleep(FENCE_HEAD_START_SECONDS)
+        return await server.probe(SERVER_TIMEOUT_SECONDS)
+
     async def probe(self, action: ProbeServer) -> None:
         """Read a server's position."""
         server = self.servers[action.server]
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/server_probe.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/server_probe.py
@@ -6,7 +6,10 @@
 from jackdawcrank.backend.server_control import ServerControl, Unreachable
 from jackdawcrank.groups.probe_result import ProbeResult
 from jackdawcrank.timer import Subscription, Timer
-from jackdawcrank_policy.detection import PROBE_TIMEOUT_SECONDS
+from jackdawcrank_policy.detection import (
+    PROBE_TIMEOUT_SECONDS,
+    SECOND_TIMEOUT_SECONDS,
+)
 from jackdawcrank_policy.values import ServerReport
 
 MIN_PAUSE_SECONDS = 0.02
@@ -91,7 +94,7 @@
     async def measure(self) -> ProbeResult:
         """Probe once and plan the next probe."""
         sent_at = self.timer.now()
-        answer = await self.server.probe(PROBE_TIMEOUT_SECONDS)
+        answer = await self.server.probe(self.timeout_seconds())
         ended_at = self.timer.now()
         self.running = None
         result = self.read(answer, sent_at, ended_at)
@@ -102,6 +105,16 @@
             self.on_result(result)
         return result
 
+    def timeout_seconds(self) -> float:
+        """Return the next probe's deadline, longer after a missed one.
+
+        A slow server then answers the second probe, while a dead one is
+        found as soon as by three short deadlines.
+        """
+        if self.latest is None or self.latest.report is not None:
+            return PROBE_TIMEOUT_SECONDS
+        return SECOND_TIMEOUT_SECONDS
+
     def read(
         self,
         answer: ServerReport | Unreachable,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/suspicion_round.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/suspicion_round.py
@@ -10,7 +10,7 @@
     judge,
 )
 
-ASK_TIMEOUT_SECONDS = 0.5
+ASK_TIMEOUT_SECONDS = 1.0
 
 
 async def ask_homes(
