--- a/packages/jackdawcrank-proxy/src/jackdawcrank/config/follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/config/follower.py
@@ -147,14 +147,17 @@
 
     async def read_head(self) -> Head | StoreUnavailable:
         """Read the head; from a slow store the changes at the same time."""
-        if not self.slow:
-            return await read_head(self.store)
-        head, changes = await asyncio.gather(
-            read_head(self.store), read_changes(self.store, self.version)
-        )
-        if not isinstance(changes, StoreUnavailable):
-            self.apply(changes)
-        return head
+        reading = asyncio.create_task(read_head(self.store))
+        try:
+            if not self.slow:
+                await asyncio.wait([reading], timeout=SLOW_SECONDS)
+            if not reading.done():
+                changes = await read_changes(self.store, self.version)
+                if not isinstance(changes, StoreUnavailable):
+                    self.apply(changes)
+            return await reading
+        finally:
+            reading.cancel()
 
     def note_store(self, answers: bool) -> None:
         """Record whether the store answers."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/channel.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/channel.py
@@ -12,7 +12,7 @@
 from jackdawcrank.store.limits import StoreLimits
 from jackdawcrank.store.outcome import StoreUnavailable
 from jackdawcrank.store.rate_limit import RateLimit
-from jackdawcrank.store.traffic import Traffic
+from jackdawcrank.store.traffic import Traffic, header_bytes
 
 SERVER_ERROR = 500
 CHUNK_BYTES = 64 * 1024
@@ -186,7 +186,6 @@
             return StoreUnavailable(False, "no time was left to send")
         self.traffic.requests += 1
         self.traffic.reads += request.reads
-        self.traffic.bytes_sent += len(request.body)
         try:
             async with asyncio.timeout(left):
                 answer = await self.transfer(session, request)
@@ -194,7 +193,6 @@
             refused = isinstance(error, aiohttp.ClientConnectorError)
             detail = f"{type(error).__name__}: {error}".strip(": ")
             return StoreUnavailable(maybe_applied and not refused, detail)
-        self.traffic.bytes_received += len(answer.body)
         if self.clock() > deadline:
             return StoreUnavailable(maybe_applied, "the answer came too late")
         if answer.status >= SERVER_ERROR:
@@ -213,8 +211,18 @@
             headers=request.headers,
         ) as response:
             body = await self.read_body(response)
+            self.count(request, response, len(body))
             return Answer(response.status, body, response.headers)
 
+    def count(
+        self, request: Request, response: aiohttp.ClientResponse, length: int
+    ) -> None:
+        """Count the bytes of a request and its answer."""
+        sent = header_bytes(response.request_info.headers.items())
+        self.traffic.bytes_sent += sent + len(request.path) + len(request.body)
+        received = header_bytes(response.raw_headers)
+        self.traffic.bytes_received += received + length
+
     async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
         """Read an answer's body up to the largest size allowed."""
         chunks = bytearray()
