Cut homes off from the store in the session walk

Cause: the walk never left a home without the term lease for long.

Change: homes are cut off at random.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/evidence.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/evidence.py
@@ -59,8 +59,6 @@
             for name, evidence in self.servers.items()
             if evidence.term >= branch.term and branch.keeps(evidence.position)
         }
-        for evidence in self.servers.values():
-            evidence.history.clear()
 
     def hold_term(self, until: float) -> None:
         """Record that no later term opens before an instant.
--- a/packages/jackdawcrank-policy/tests/routing/test_session_guarantees.py
+++ b/packages/jackdawcrank-policy/tests/routing/test_session_guarantees.py
@@ -62,6 +62,7 @@
     name: str
     table: RoutingTable
     lease_until: float = 0.0
+    cut_off: bool = False
 
 
 @attrs.define
@@ -135,7 +136,7 @@
 
     def renew(self) -> None:
         home = self.rng.choice(self.homes)
-        if not self.preparing:
+        if not self.preparing and not home.cut_off:
             home.table.evidence.begin_term(self.branch)
             home.table.primary = self.primary
             home.lease_until = self.now + LEASE_SECONDS
@@ -144,6 +145,10 @@
     def restart_home(self) -> None:
         self.homes[self.rng.randrange(3)] = self.new_home()
 
+    def cut_off(self) -> None:
+        home = self.rng.choice(self.homes)
+        home.cut_off = not home.cut_off
+
     def crash_or_restart(self) -> None:
         dead = [s for s in self.servers.values() if not s.alive]
         if dead:
@@ -247,7 +252,7 @@
             GROUP,
             self.now + 5,
             session.decoded().position(GROUP),
-            self.rng.choice((None, 300, 1000, 5000)),
+            self.rng.choice((None, 100, 1000, 5000)),
             session.reads.hold(GROUP, evidence, home.name, self.now),
         )
         choice = home.table.choose(request, self.now, self.rng)
@@ -339,6 +344,7 @@
     "tick": 12,
     "renew": 10,
     "restart_home": 0.2,
+    "cut_off": 0.4,
     "crash_or_restart": 2,
     "replicate": 25,
     "fence": 3,
