--- a/bench/writes_model/gap.py
+++ b/bench/writes_model/gap.py
@@ -11,7 +11,12 @@
 from jackdawcrank_wire.events import EventKind
 from writes_model.deployment import Deployment
 from writes_model.fault import CAUSES, Fault
-from writes_model.world import GROUP, World
+from writes_model.world import (
+    FINE_WRITE_INTERVAL_SECONDS,
+    GROUP,
+    WRITE_INTERVAL_SECONDS,
+    World,
+)
 
 CALM_SECONDS = 3.1
 LEAD_SECONDS = 0.15
@@ -74,9 +79,12 @@
             detector = PrimaryDetector(BASELINE_SILENCE_SECONDS)
             proxy.agent.probes.detector = detector
     await world.start()
-    if fault is Fault.SWITCH_OVER:
+    planned = fault is Fault.SWITCH_OVER
+    if planned:
         await asyncio.sleep(CALM_SECONDS)
-    world.begin_writes()
+    world.begin_writes(
+        FINE_WRITE_INTERVAL_SECONDS if planned else WRITE_INTERVAL_SECONDS
+    )
     await asyncio.sleep(LEAD_SECONDS)
     started = world.now
     homes = await CAUSES[fault](world)
