Replace a leaving primary before it is declared as leaving

Draining a group's primary left the group without one: the server took no new work and nobody moved the primary.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/action_handlers.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/action_handlers.py
@@ -22,6 +22,7 @@
     missing_answer,
 )
 from jackdawcrank.operators.writes import WriteRequest, write
+from jackdawcrank_policy.budget import writer_names
 from jackdawcrank_policy.configuration import Kind
 from jackdawcrank_policy.values import ServerState, Vm
 
@@ -62,8 +63,24 @@
         if server is not None and not self.is_member(server, name):
             hint = f"jackdawcrankctl describe DatabaseGroup {name}"
             return missing_answer(f"server {server} in group {name}", hint)
-        outcome = await self.ports.promote(name, server, request[ACTOR])
-        return action_answer(outcome)
+        return await self.promote_at_home(request, name, server)
+
+    async def promote_at_home(
+        self, request: web.Request, group: str, server: str | None
+    ) -> web.Response:
+        """Begin a promotion here or, if this VM is no home, at one."""
+        homes = homes_of(self.ports, group)
+        if not homes or self.ports.vm in homes or FORWARDED in request.headers:
+            outcome = await self.ports.promote(group, server, request[ACTOR])
+            return action_answer(outcome)
+        path = f"/v1/groups/{group}/promote"
+        body = {} if server is None else {"server": server}
+        answer = missing_answer(f"home of group {group} in reach")
+        for vm in homes.values():
+            answer = await forward(request, vm, path, body)
+            if answer.status != UNAVAILABLE:
+                break
+        return answer
 
     def is_member(self, server: str, group: str) -> bool:
         """Return whether a server belongs to a group."""
@@ -79,16 +96,21 @@
         if vm is None or FORWARDED in request.headers:
             hint = "jackdawcrankctl status lists the VMs"
             return missing_answer(f"VM {name}", hint)
-        return await forward_drain(request, vm)
+        return await forward(request, vm, f"/v1/vms/{name}/drain")
 
     async def drain_server(self, request: web.Request) -> web.Response:
-        """Declare a backend server as leaving."""
+        """Declare a backend server as leaving, once it is no primary."""
         name = request.match_info["name"]
         kind = Kind.BACKEND_SERVER
         entry = self.ports.follower.configuration.entries.get((kind, name))
         if entry is None:
             hint = f"jackdawcrankctl get {kind} lists what there is"
             return missing_answer(f"{kind} {name}", hint)
+        group = primary_of(self.ports, name)
+        if group is not None:
+            moved = await self.promote_at_home(request, group, None)
+            if moved.status >= BAD_REQUEST:
+                return moved
         state = str(ServerState.LEAVING)
         spec = {**entry.document.get("spec", {}), "state": state}
         body = {"spec": spec}
@@ -172,9 +194,27 @@
     return missing_answer(outcome.detail)
 
 
-async def forward_drain(request: web.Request, vm: Vm) -> web.Response:
-    """Pass the drain of another VM on to it."""
-    url = f"http://{vm.host}:{vm.operator_port}/v1/vms/{vm.name}/drain"
+def homes_of(ports: OperatorPorts, group: str) -> dict[str, Vm]:
+    """Return the living home proxies of a group with their addresses."""
+    row = ports.follower.configuration.group_rows.get(group)
+    names = writer_names(row.writers) if row is not None else ()
+    vms = ports.members().vms
+    return {name: vms[name] for name in names if name in vms}
+
+
+def primary_of(ports: OperatorPorts, server: str) -> str | None:
+    """Return the group whose primary a server is; None if of none."""
+    configuration = ports.follower.configuration
+    spec = configuration.servers.get(server)
+    row = configuration.group_rows.get(spec.group) if spec else None
+    return row.group if row is not None and row.primary == server else None
+
+
+async def forward(
+    request: web.Request, vm: Vm, path: str, body: Any = None
+) -> web.Response:
+    """Pass an action on to another VM's resource API."""
+    url = f"http://{vm.host}:{vm.operator_port}{path}"
     headers = {FORWARDED: "1"}
     for name in PASSED_ON:
         if name in request.headers:
@@ -183,7 +223,7 @@
     try:
         async with (
             aiohttp.ClientSession(timeout=limit) as session,
-            session.post(url, headers=headers) as response,
+            session.post(url, json=body, headers=headers) as response,
         ):
             document = await response.json()
             return web.json_response(document, status=response.status)
@@ -192,5 +232,5 @@
             UNAVAILABLE,
             "unreachable",
             f"VM {vm.name} can't be reached: {type(error).__name__}",
-            f"if it is dead there is nothing to drain; else ask {url}",
+            f"ask {url} itself, if the VM is not dead",
         )
--- a/packages/jackdawcrank-proxy/tests/operators/test_actions.py
+++ b/packages/jackdawcrank-proxy/tests/operators/test_actions.py
@@ -7,7 +7,9 @@
 import pytest
 
 from jackdawcrank.store import Appended
+from jackdawcrank.store.group_row_codec import encode_group_row
 from jackdawcrank_policy.configuration import Kind
+from jackdawcrank_policy.values import GroupPhase, GroupRow
 from jackdawcrank_wire.events import EventKind
 
 
@@ -95,6 +97,59 @@
     assert spec["new"] == 1
 
 
+async def add_row(proxies: list[Any], homes: tuple[str, ...]) -> None:
+    row = GroupRow("g", 1, GroupPhase.ACTIVE, "s-1", homes[0], homes)
+    log = proxies[0].ports.change_log
+    body = encode_group_row(row)
+    await log.append_group_row("g", body, lambda present: True, "vm-2")
+    for proxy in proxies:
+        await proxy.ports.follower.read()
+
+
+async def test_a_promotion_is_forwarded_to_a_home(
+    http: aiohttp.ClientSession, proxies: list[Any]
+) -> None:
+    await add_row(proxies, ("vm-gone", "vm-2"))
+    path = "/v1/groups/g/promote"
+    status, answer = await post(http, path, {"server": "s-1"})
+    assert (status, answer["term"]) == (200, 2)
+    assert proxies[0].ports.promoted == []
+    assert proxies[1].ports.promoted == [("g", "s-1", "ada")]
+    assert (await post(http, path))[0] == 409
+
+
+async def test_homes_that_cannot_be_reached_are_told(
+    http: aiohttp.ClientSession, proxies: list[Any]
+) -> None:
+    await add_row(proxies, ("vm-2",))
+    await proxies[1].api.close()
+    status, answer = await post(http, "/v1/groups/g/promote")
+    assert status == 503
+    assert "vm-2" in answer["error"]["message"]
+
+
+async def test_a_leaving_primary_is_replaced_before_it_is_declared(
+    http: aiohttp.ClientSession, proxies: list[Any]
+) -> None:
+    await add_row(proxies, ("vm-1",))
+    ports = proxies[0].ports
+    assert (await post(http, "/v1/servers/s-1/drain"))[0] == 200
+    assert ports.promoted == [("g", None, "ada")]
+    assert ports.follower.configuration.servers["s-1"].state == "leaving"
+
+
+async def test_a_primary_that_cannot_be_replaced_stays(
+    http: aiohttp.ClientSession, proxies: list[Any]
+) -> None:
+    await add_row(proxies, ("vm-1",))
+    ports = proxies[0].ports
+    ports.promoted.append(("g", None, "ben"))
+    status, answer = await post(http, "/v1/servers/s-1/drain")
+    assert status == 409
+    assert "under way" in answer["error"]["message"]
+    assert ports.follower.configuration.servers["s-1"].state == "serving"
+
+
 async def test_what_became_of_a_request_is_told(
     http: aiohttp.ClientSession,
 ) -> None:
