Take a restarted VM in as soon as its new process is known

A VM that had announced its leaving stayed out of the others' views until their page of lease rows came round, up to 10 s. The row of a leaving VM that is still heard is now read within a second, and a new boot id on a stream counts at once.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/membership/evidence.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/membership/evidence.py
@@ -25,6 +25,7 @@
         rule out an outage between them, have shown no renewal.
       heard_at: When a stream last carried something from it.
       failed_at: Since when streams to it have failed; None if they work.
+      boot: The id of its newest process that is known; empty if none is.
     """
 
     vm: Vm | None = None
@@ -36,22 +37,29 @@
     idle_seconds: float = 0.0
     heard_at: float | None = None
     failed_at: float | None = None
+    boot: str = ""
 
     def note_lease(self, reading: LeaseReading, now: float) -> None:
         """Record a reading of the lease row."""
         known, gap = self.reading, now - self.read_at
         self.reading, self.read_at = reading, now
+        self.note_boot(reading.boot)
         if known is None:
             self.idle_seconds = 0.0
         elif (known.boot, known.counter) != (reading.boot, reading.counter):
             self.idle_seconds, self.advanced_at = 0.0, now
-            self.leaving = self.leaving and known.boot == reading.boot
         elif gap <= MAX_READING_GAP_SECONDS:
             self.idle_seconds += gap
         else:
             self.idle_seconds = 0.0
         self.leaving = self.leaving or reading.leaving
 
+    def note_boot(self, boot: str) -> None:
+        """Record the id of the VM's process; a new one is not leaving."""
+        if self.boot and boot != self.boot:
+            self.leaving = False
+        self.boot = boot
+
     def note_heard(self, now: float) -> None:
         """Record that a stream carried something from the VM."""
         self.heard_at, self.failed_at = now, None
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/membership/membership.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/membership/membership.py
@@ -69,10 +69,21 @@
         evidence = self.of(name)
         evidence.reading, evidence.advanced_at = None, None
 
-    def heard(self, name: str, vm: Vm | None, now: float) -> None:
-        """Take in that a stream carried something from a VM."""
+    def heard(
+        self, name: str, vm: Vm | None, now: float, boot: str = ""
+    ) -> None:
+        """Take in that a stream carried something from a VM.
+
+        Args:
+          name: The VM.
+          vm: Its address, if the stream told it.
+          now: The present.
+          boot: The id of its process, if the stream told it.
+        """
         evidence = self.of(name)
         evidence.note_heard(now)
+        if boot:
+            evidence.note_boot(boot)
         evidence.vm = vm or evidence.vm
 
     def stream_failed(self, name: str, now: float) -> None:
@@ -83,12 +94,19 @@
         """Take in that a VM says it is leaving."""
         self.of(name).leaving = True
 
-    def suspects(self) -> tuple[str, ...]:
-        """Return the VMs whose streams fail, in order."""
-        failing = (
-            name for name, e in self.evidence.items() if e.failed_at is not None
+    def suspects(self, now: float) -> tuple[str, ...]:
+        """Return the VMs whose lease rows should be read soon, in order.
+
+        These are the VMs whose streams fail, and leaving ones that are still
+        heard, since a new process may have taken their place.
+        """
+        found = (
+            name
+            for name, evidence in self.evidence.items()
+            if evidence.failed_at is not None
+            or (evidence.leaving and evidence.heard_lately(now))
         )
-        return tuple(sorted(failing))
+        return tuple(sorted(found))
 
     def view(self, now: float) -> MembershipView:
         """Return the VMs that count as living at an instant."""
--- a/packages/jackdawcrank-policy/tests/membership/test_membership.py
+++ b/packages/jackdawcrank-policy/tests/membership/test_membership.py
@@ -67,7 +67,7 @@
     membership.stream_failed("vm-1", 10.0)
     assert "vm-1" in membership.view(12.9).live
     assert membership.view(13.0).live == ("vm-0",)
-    assert membership.suspects() == ("vm-1",)
+    assert membership.suspects(13.0) == ("vm-1",)
 
 
 def test_a_renewal_speaks_for_a_vm_that_only_this_one_cannot_reach(
@@ -128,6 +128,20 @@
     assert membership.view(5.0).live == ("vm-0", "vm-1")
 
 
+def test_a_new_process_heard_on_a_stream_is_live(
+    membership: Membership,
+) -> None:
+    membership.heard("vm-1", None, 0.0, "b1")
+    membership.announced_leaving("vm-1")
+    membership.heard("vm-1", None, 1.0)
+    membership.heard("vm-1", None, 1.0, "b1")
+    assert membership.view(1.0).live == ("vm-0",)
+    assert membership.suspects(1.0) == ("vm-1",)
+    membership.heard("vm-1", None, 2.0, "b2")
+    assert membership.view(2.0).live == ("vm-0", "vm-1")
+    assert membership.suspects(2.0) == ()
+
+
 def test_own_leaving_removes_this_vm_from_its_own_view(
     membership: Membership,
 ) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/membership/tracker.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/membership/tracker.py
@@ -102,9 +102,15 @@
         )
         self.subscriptions.append(subscription)
 
-    def heard(self, name: str, vm: Vm | None = None) -> None:
-        """Take in that a stream carried something from a VM."""
-        self.membership.heard(name, vm, self.timer.now())
+    def heard(self, name: str, vm: Vm | None = None, boot: str = "") -> None:
+        """Take in that a stream carried something from a VM.
+
+        Args:
+          name: The VM.
+          vm: Its address, if the stream told it.
+          boot: The id of its process, if the stream told it.
+        """
+        self.membership.heard(name, vm, self.timer.now(), boot)
 
     def stream_failed(self, name: str) -> None:
         """Take in that a stream to a VM broke or could not be opened."""
@@ -159,8 +165,8 @@
         self.membership.forget(now)
 
     async def read_suspects(self, now: float) -> None:
-        """Read the lease rows of some VMs whose streams fail."""
-        suspects = self.membership.suspects()
+        """Read the lease rows of some VMs that are in doubt."""
+        suspects = self.membership.suspects(now)
         count = min(len(suspects), intervals.SUSPECTS_PER_READ)
         for name in self.rng.sample(suspects, count):
             sent_at = self.timer.now()
