Shorten the way of a statement through the proxy

Cause, by profile: a task and a timeout context per statement, routing asked twice also for plain reads, handler tables and flag sets built per command.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_link.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_link.py
@@ -97,11 +97,12 @@
         """
         if not self.usable:
             return LostAnswer(False, "the connection is closed")
+        # Closing the connection at the deadline ends the read below; it costs
+        # less than a timeout context on every statement.
+        loop = asyncio.get_running_loop()
+        alarm = loop.call_later(timeout_seconds, self.close)
         try:
-            async with asyncio.timeout(timeout_seconds):
-                await self.connection.query(sql)
-        except TimeoutError:
-            return self._lost("no answer in time")
+            await self.connection.query(sql)
         except asyncmy_errors.MySQLError as error:
             return self._server_error(error)
         except asyncio.CancelledError:
@@ -109,6 +110,8 @@
             raise
         except (OSError, EOFError, RuntimeError, ValueError) as error:
             return self._lost(str(error) or type(error).__name__)
+        finally:
+            alarm.cancel()
         self.last_answer_at = time.monotonic()
         return _read_result(self.connection._result)
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/read_path.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/read_path.py
@@ -75,26 +75,33 @@
           weight: The caller class's weight.
           deadline: When the caller gives up, on the monotonic clock.
         """
-        wanted = self._wanted(request, deadline)
-        waited = await self._wait_for_replica(wanted)
-        if isinstance(waited, Refuse):
-            return result_error(waited.outcome)
+        max_age_ms = request.max_age_ms
+        if max_age_ms is None and not request.token:
+            max_age_ms = self.state.spec.default_max_age_ms
+        wanted = None
+        if request.token or max_age_ms is not None:
+            wanted = self._wanted(request, max_age_ms, deadline)
+            waited = await self._wait_for_replica(wanted)
+            if isinstance(waited, Refuse):
+                return result_error(waited.outcome)
         ticket = await self.gate.enter(
             request.caller, request.caller_class, weight, deadline
         )
         if isinstance(ticket, NotRun):
             return result_error(ticket)
         try:
+            if wanted is None:
+                return await self._on_primary(request, deadline)
             return await self._attempts(request, wanted, deadline)
         finally:
             self.gate.leave(ticket)
 
     def _wanted(
-        self, request: StatementRequest, deadline: float
+        self,
+        request: StatementRequest,
+        max_age_ms: int | None,
+        deadline: float,
     ) -> ReadRequest:
-        max_age_ms = request.max_age_ms
-        if max_age_ms is None and not request.token:
-            max_age_ms = self.state.spec.default_max_age_ms
         token = Position.parse(request.token) if request.token else None
         return ReadRequest(
             group=request.group,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/bounded_reader.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/bounded_reader.py
@@ -60,6 +60,8 @@
         Raises:
           TimeoutError: The bytes took too long.
         """
+        if len(self._buffer) >= n:  # type: ignore[attr-defined]
+            return await super().readexactly(n)
         async with asyncio.timeout(self.packet_seconds):
             return await super().readexactly(n)
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_connection.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_connection.py
@@ -27,6 +27,7 @@
 from jackdawcrank.front.packets import (
     column_count_packet,
     column_packet,
+    end_packet,
     error_packet,
     framed,
     ok_packet,
@@ -43,6 +44,16 @@
 ROWS_PER_WRITE = 500
 MAX_PREPARED_STATEMENTS = 1024
 FIRST_ANSWER_SEQUENCE = 1
+# The status flags by autocommit and open transaction, since combining flags
+# is slow.
+_STATUS = {
+    (autocommit, in_transaction): ServerStatus(
+        autocommit * ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        | in_transaction * ServerStatus.SERVER_STATUS_IN_TRANS
+    )
+    for autocommit in (False, True)
+    for in_transaction in (False, True)
+}
 _TEXT_COLUMN = ResultColumn("", ColumnType.STRING)
 
 
@@ -72,6 +83,8 @@
         self.login_timeout_seconds = login_timeout_seconds
         self.status_flags = ServerStatus.SERVER_STATUS_AUTOCOMMIT
         self.prepared: dict[int, Prepared] = {}
+        self.known_capabilities = self.capabilities
+        self.has_deprecate_eof = False
         self.busy = False
         self.closing = False
         self.logged_in = False
@@ -264,13 +277,19 @@
         self.status_flags = self._status()
         return bytes(super().eof(**kwargs))
 
+    def deprecate_eof(self) -> bool:
+        """Return whether the driver wants OK packets in place of EOF."""
+        if self.capabilities != self.known_capabilities:
+            self.known_capabilities = self.capabilities
+            self.has_deprecate_eof = bool(super().deprecate_eof())
+        return self.has_deprecate_eof
+
+    def _end(self, warnings: int) -> bytes:
+        return end_packet(self.deprecate_eof(), self._status(), warnings)
+
     def _status(self) -> ServerStatus:
-        status = ServerStatus(0)
-        if self.session.autocommit:
-            status |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
-        if self.session.in_transaction:
-            status |= ServerStatus.SERVER_STATUS_IN_TRANS
-        return status
+        session = self.session
+        return _STATUS[session.autocommit, session.in_transaction]
 
     async def _serve_command(self, data: bytes) -> bool:
         if not data or data[0] == Commands.COM_QUIT:
@@ -282,26 +301,12 @@
         return True
 
     async def _dispatch(self, command: int, rest: bytes) -> None:
-        handlers = {
-            Commands.COM_QUERY: self.handle_query,
-            Commands.COM_STMT_PREPARE: self.handle_stmt_prepare,
-            Commands.COM_STMT_SEND_LONG_DATA: self.handle_stmt_send_long_data,
-            Commands.COM_STMT_EXECUTE: self.handle_stmt_execute,
-            Commands.COM_STMT_FETCH: self.handle_stmt_fetch,
-            Commands.COM_STMT_RESET: self.handle_stmt_reset,
-            Commands.COM_STMT_CLOSE: self.handle_stmt_close,
-            Commands.COM_PING: self.handle_ping,
-            Commands.COM_CHANGE_USER: self.handle_change_user,
-            Commands.COM_RESET_CONNECTION: self.handle_reset_connection,
-            Commands.COM_INIT_DB: self.handle_init_db,
-            Commands.COM_FIELD_LIST: self.handle_field_list,
-        }
-        handler = handlers.get(command)
+        handler = _HANDLERS.get(command)
         if handler is None:
             error = not_supported(f"command {command:#04x}")
             await self.stream.write(error_packet(error))
             return
-        await handler(rest)
+        await handler(self, rest)
 
     async def _write_result(self, result: StatementResult) -> None:
         match result:
@@ -322,13 +327,13 @@
             self.stream.write_text_rows(rows, columns)
             if len(result.rows) > ROWS_PER_WRITE:
                 await self.stream.drain()
-        await self.stream.write(self.ok_or_eof(warnings=result.warnings))
+        await self.stream.write(self._end(result.warnings))
 
     async def _write_binary_rows(self, result: ResultRows) -> None:
         self._write_header(result)
         async for packet in _binary_packets(result):
             await self.stream.write(packet, drain=False)
-        await self.stream.write(self.ok_or_eof(warnings=result.warnings))
+        await self.stream.write(self._end(result.warnings))
 
     async def _open_cursor(self, statement: Any, result: ResultRows) -> None:
         self._write_header(result, end=False)
@@ -340,7 +345,7 @@
         header = [column_count_packet(len(result.columns))]
         header.extend(column_packet(column) for column in result.columns)
         if end and not self.deprecate_eof():
-            header.append(self.eof())
+            header.append(self._end(0))
         self.stream.write_many(header)
 
     async def _refuse_too_large(self, error: StatementTooLarge) -> None:
@@ -362,6 +367,24 @@
             self.session.caller_vanished()
 
 
+_HANDLERS = {
+    Commands.COM_QUERY: CallerConnection.handle_query,
+    Commands.COM_STMT_PREPARE: CallerConnection.handle_stmt_prepare,
+    Commands.COM_STMT_SEND_LONG_DATA: (
+        CallerConnection.handle_stmt_send_long_data
+    ),
+    Commands.COM_STMT_EXECUTE: CallerConnection.handle_stmt_execute,
+    Commands.COM_STMT_FETCH: CallerConnection.handle_stmt_fetch,
+    Commands.COM_STMT_RESET: CallerConnection.handle_stmt_reset,
+    Commands.COM_STMT_CLOSE: CallerConnection.handle_stmt_close,
+    Commands.COM_PING: CallerConnection.handle_ping,
+    Commands.COM_CHANGE_USER: CallerConnection.handle_change_user,
+    Commands.COM_RESET_CONNECTION: CallerConnection.handle_reset_connection,
+    Commands.COM_INIT_DB: CallerConnection.handle_init_db,
+    Commands.COM_FIELD_LIST: CallerConnection.handle_field_list,
+}
+
+
 async def _binary_packets(result: ResultRows) -> AsyncIterator[bytes]:
     encoders = [encoder_for(column) for column in result.columns]
     for number, row in enumerate(result.rows):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
@@ -49,7 +49,9 @@
 END_SESSION_DEADLINE_MS = 5000
 _GLOBAL_VARIABLES = GlobalVariables()
 
-Handler = Callable[[Statement, str, Options], Awaitable[StatementResult]]
+Handler = Callable[
+    ["CallerSession", Statement, str, Options], Awaitable[StatementResult]
+]
 
 
 class CallerSession(BaseSession):
@@ -77,9 +79,8 @@
         self.token = SessionToken()
         self.last_insert_id = 0
         self.last_reads: dict[str, tuple[str, float, int]] = {}
-        self.running: asyncio.Task[StatementResult] | None = None
+        self.running: asyncio.Task[object] | None = None
         self.running_writes = False
-        self.vanished = False
         self.on_boundary: Callable[[], None] = lambda: None
 
     @property
@@ -144,32 +145,14 @@
 
         A write that commits by itself is let run, since it may be under way.
         """
-        self.vanished = True
         if self.running is not None and not self.running_writes:
             self.running.cancel()
 
     async def _dispatch(
         self, statement: Statement, sql: str, options: Options
     ) -> StatementResult:
-        handlers: dict[FrontKind, Handler] = {
-            FrontKind.READ: self._run_data,
-            FrontKind.WRITE: self._run_data,
-            FrontKind.IMPLICIT_COMMIT: self._run_schema_change,
-            FrontKind.BEGIN: self._begin,
-            FrontKind.COMMIT: self._commit,
-            FrontKind.ROLLBACK: self._roll_back,
-            FrontKind.SET: self._set,
-            FrontKind.USE: self._use,
-            FrontKind.SHOW_REQUEST: self._show_request,
-            FrontKind.SHOW_WARNINGS: self._show_warnings,
-            FrontKind.SESSION_TOKEN: self._session_token,
-            FrontKind.LAST_INSERT_ID: self._last_insert_id,
-            FrontKind.CONNECTION_ID: self._connection_id,
-            FrontKind.EMPTY: self._empty,
-            FrontKind.MULTIPLE: self._multiple,
-            FrontKind.UNSUPPORTED: self._unsupported,
-        }
-        return await handlers[statement.kind](statement, sql, options)
+        handler = _HANDLERS[statement.kind]
+        return await handler(self, statement, sql, options)
 
     async def _run_data(
         self, statement: Statement, sql: str, options: Options
@@ -355,17 +338,9 @@
         writes = request.kind is StatementKind.WRITE
         self.running_writes = writes and not request.transaction_id
         self.running_writes |= request.kind is StatementKind.COMMIT
-        task = asyncio.ensure_future(self.router.execute(request))
-        self.running = task
+        self.running = asyncio.current_task()
         try:
-            return await asyncio.shield(task)
-        except asyncio.CancelledError:
-            if self.vanished:
-                return result_error(
-                    NotRun(NotRunReason.DEADLINE, "the caller has gone")
-                )
-            task.cancel()
-            raise
+            return await self.router.execute(request)
         finally:
             self.running = None
 
@@ -415,7 +390,9 @@
         transaction = self.transaction
         if transaction is not None and request.transaction_id:
             self._follow_transaction(transaction, request, result)
-        if isinstance(result, ResultOk):
+        if isinstance(result, ResultError):
+            self._take_in_loss(request.group, result)
+        elif isinstance(result, ResultOk):
             self._take_in_ok(request.group, result)
         elif isinstance(result, ResultRows) and result.server:
             read = (result.server, time.monotonic(), result.term)
@@ -427,6 +404,12 @@
         if result.position is not None:
             self._advance(group, result.position)
 
+    def _take_in_loss(self, group: str, result: ResultError) -> None:
+        """Begin anew once the caller was told that something was lost."""
+        if result.reason == NotRunReason.WRITE_LOST.value:
+            self.last_reads.pop(group, None)
+            self.token = self.token.without(group)
+
     def _follow_transaction(
         self,
         transaction: Transaction,
@@ -477,6 +460,26 @@
         return result_error(refusal)
 
 
+_HANDLERS: dict[FrontKind, Handler] = {
+    FrontKind.READ: CallerSession._run_data,
+    FrontKind.WRITE: CallerSession._run_data,
+    FrontKind.IMPLICIT_COMMIT: CallerSession._run_schema_change,
+    FrontKind.BEGIN: CallerSession._begin,
+    FrontKind.COMMIT: CallerSession._commit,
+    FrontKind.ROLLBACK: CallerSession._roll_back,
+    FrontKind.SET: CallerSession._set,
+    FrontKind.USE: CallerSession._use,
+    FrontKind.SHOW_REQUEST: CallerSession._show_request,
+    FrontKind.SHOW_WARNINGS: CallerSession._show_warnings,
+    FrontKind.SESSION_TOKEN: CallerSession._session_token,
+    FrontKind.LAST_INSERT_ID: CallerSession._last_insert_id,
+    FrontKind.CONNECTION_ID: CallerSession._connection_id,
+    FrontKind.EMPTY: CallerSession._empty,
+    FrontKind.MULTIPLE: CallerSession._multiple,
+    FrontKind.UNSUPPORTED: CallerSession._unsupported,
+}
+
+
 def _rolled_back(detail: str) -> ResultError:
     return ResultError(
         StatementOutcome.FAILED,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/packets.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/packets.py
@@ -22,6 +22,9 @@
 
 MAX_MESSAGE_BYTES = 512
 FIXED_FIELDS_LENGTH = 0x0C
+END_HEADER = 0xFE
+_END_OK = struct.Struct("<BBBHH")
+_END_EOF = struct.Struct("<BHH")
 
 
 def column_packet(column: ColumnInfo) -> bytes:
@@ -71,6 +74,19 @@
     return bytes(packet) + result.info.encode()
 
 
+def end_packet(is_ok: bool, status: int, warnings: int) -> bytes:
+    """Return the packet that ends rows.
+
+    Args:
+      is_ok: Whether the driver wants an OK packet in place of EOF.
+      status: The connection's status flags.
+      warnings: The number of warnings.
+    """
+    if is_ok:
+        return _END_OK.pack(END_HEADER, 0, 0, status, warnings)
+    return _END_EOF.pack(END_HEADER, warnings, status)
+
+
 def error_text(error: ResultError) -> str:
     """Return the message that a caller sees, which starts with the outcome.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/entry_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/entry_router.py
@@ -178,19 +178,20 @@
         """Run a statement that no transaction ties to a home."""
         deadline = self.clock() + request.deadline_ms / 1000
         self.retries.attempt()
-        result: StatementResult = _no_home("no home proxy is known")
+        result: StatementResult | None = None
         for number, home in enumerate(self._homes(request)):
             if number and not self.retries.take():
                 break
-            remaining_ms = int((deadline - self.clock()) * 1000)
-            if remaining_ms <= 0:
-                break
-            result = await self._at(
-                home, attrs.evolve(request, deadline_ms=remaining_ms)
-            )
+            attempt = request
+            if number:
+                remaining_ms = int((deadline - self.clock()) * 1000)
+                if remaining_ms <= 0:
+                    break
+                attempt = attrs.evolve(request, deadline_ms=remaining_ms)
+            result = await self._at(home, attempt)
             if not _may_try_another(result, request):
                 return result
-        return result
+        return result or _no_home("no home proxy is known")
 
     async def _in_transaction(
         self, request: StatementRequest
@@ -212,14 +213,14 @@
     def _homes(self, request: StatementRequest) -> list[str]:
         """Return the group's home proxies in the order to try them."""
         row = self.registry.configuration.group_rows.get(request.group)
-        writers = list(writer_names(row.writers)) if row else []
-        if not writers:
+        if row is None:
             return []
-        start = zlib.crc32(request.session_id.encode()) % len(writers)
-        order = writers[start:] + writers[:start]
-        if self.vm in order and self.registry.active(request.group):
-            order.remove(self.vm)
-            order.insert(0, self.vm)
+        is_home = self.vm in row.writers and self.registry.active(row.group)
+        others = [v for v in writer_names(row.writers) if v != self.vm]
+        if others:
+            start = zlib.crc32(request.session_id.encode()) % len(others)
+            others = others[start:] + others[:start]
+        order = [self.vm, *others] if is_home else others
         return order[:MAX_HOMES_TRIED]
 
     async def _at(
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
@@ -118,6 +118,7 @@
         await self.follower.start()
         await self.collector.start()
         await self.tracker.start()
+        self._view_changed(self.tracker.view)
         await self.front.start()
         self.timer.subscribe("homes", TICK_SECONDS, self.registry.tick)
         self.timer.subscribe("metrics", METRICS_SECONDS, self._flush_metrics)
