--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/platform/platform.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/platform/platform.py
@@ -26,6 +26,7 @@
 from jackdawcrank_standins.store.vm_list import VmList
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
+SHUTDOWN_SECONDS = 0.1
 DEFAULT_SCAN_LIMIT = 1000
 VM_LIST_LAG_SECONDS = 2.0
 CONTROL_PATHS = ("/faults", "/usage")
@@ -62,9 +63,13 @@
           host: The IP address to listen on.
           port: The TCP port; 0 picks a free one.
         """
-        self.runner = web.AppRunner(self.application(), access_log=None)
+        self.runner = web.AppRunner(
+            self.application(),
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
         await self.runner.setup()
-        site = web.TCPSite(self.runner, host, port, shutdown_timeout=0.1)
+        site = web.TCPSite(self.runner, host, port)
         await site.start()
         bound_port = self.runner.addresses[0][1]
         self.url = f"http://{host}:{bound_port}"
