--- /dev/null
+++ b/bench/slopes_parts/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the benchmark of slopes."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_links.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_links.py
@@ -167,15 +167,18 @@
                 return False
         return False
 
-    def broadcast(self, message: Message) -> None:
-        """Send a short message to every peer with an open stream.
+    def broadcast(self, message: Message, limit: int | None = None) -> None:
+        """Send a short message to the peers with an open stream.
 
         Args:
           message: The message; it has no answer.
+          limit: To how many of them, chosen at random; None for all.
         """
-        for stream in self.streams.values():
-            if stream.usable:
-                stream.post(message)
+        streams = [one for one in self.streams.values() if one.usable]
+        if limit is not None and limit < len(streams):
+            streams = self.rng.sample(streams, limit)
+        for stream in streams:
+            stream.post(message)
 
     async def stream_to(
         self, vm: str, deadline: float
--- a/packages/jackdawcrank-proxy/tests/peers/test_peer_links.py
+++ b/packages/jackdawcrank-proxy/tests/peers/test_peer_links.py
@@ -348,6 +348,30 @@
     assert not await pair.a.links.notify("vm-x", ConfigVersion(9))
 
 
+async def test_a_broadcast_may_be_limited(
+    pair: typing.Any, eventually: typing.Any
+) -> None:
+    seen: list[str] = []
+    nodes = [await pair.add(f"vm-{number}") for number in range(4)]
+    addresses = {node.vm: ("127.0.0.1", node.server.port) for node in nodes}
+    pair.a.links.set_addresses(addresses)
+
+    for node in nodes:
+        await pair.a.ask(node.vm, b"one")
+
+        async def on_version(
+            vm: str, message: ConfigVersion, name: str = node.vm
+        ) -> None:
+            seen.append(name)
+
+        node.handlers.register(ConfigVersion, on_version)
+    pair.a.links.broadcast(ConfigVersion(1), limit=2)
+    await eventually(lambda: len(seen) == 2)
+    pair.a.links.broadcast(ConfigVersion(2), limit=9)
+    await eventually(lambda: len(seen) == 6)
+    assert set(seen) == set(addresses)
+
+
 async def test_a_large_result_comes_whole(pair: typing.Any) -> None:
     rows = (ROW,) * 500
     whole = ResultRows(COLUMNS, rows)
