--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/__init__.py
@@ -2,7 +2,14 @@
 
 from jackdawcrank_policy.freshness.answer_check import answer_stands
 from jackdawcrank_policy.freshness.evidence import Evidence
+from jackdawcrank_policy.freshness.position_history import PositionHistory
 from jackdawcrank_policy.freshness.primary_history import PrimaryHistory
 from jackdawcrank_policy.freshness.server_evidence import ServerEvidence
 
-__all__ = ["Evidence", "PrimaryHistory", "ServerEvidence", "answer_stands"]
+__all__ = [
+    "Evidence",
+    "PositionHistory",
+    "PrimaryHistory",
+    "ServerEvidence",
+    "answer_stands",
+]
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/evidence.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/evidence.py
@@ -91,28 +91,23 @@
         if not self.branch.keeps(report.position):
             self.servers.pop(server, None)
             return
-        self.record(report, sent_at, answered_at)
+        self.record(report, sent_at)
         if self.leads(report):
             self.primary.add(sent_at, report.position)
 
-    def record(
-        self, report: ServerReport, sent_at: float, answered_at: float
-    ) -> None:
+    def record(self, report: ServerReport, sent_at: float) -> None:
         """Store a report of a server that is on the branch.
 
         A report from a later fence term proves a position, but bounds no
         earlier read: the server may have removed entries since.
         """
-        known = self.servers.get(report.server)
-        if known is None:
-            known = ServerEvidence(
-                report.position, report.term, sent_at, answered_at
-            )
-            self.servers[report.server] = known
-        else:
-            known.update(report.position, report.term, sent_at, answered_at)
+        known = ServerEvidence(report.position, report.term, sent_at)
+        earlier = self.servers.get(report.server)
+        if earlier is not None:
+            known.history = earlier.history
+        self.servers[report.server] = known
         if report.term == self.branch.term:
-            known.remember()
+            known.history.add(sent_at, report.position)
 
     def leads(self, report: ServerReport) -> bool:
         """Return whether a report is that of the branch's primary."""
@@ -174,12 +169,27 @@
         instant = self.complete_as_of(server)
         return None if instant is None else max(0.0, now - instant)
 
+    def seconds_behind(self, server: str) -> float | None:
+        """Return how far a server was behind what is known of the primary.
+
+        Its age is greater by the time since the primary was probed, which a
+        new probe of both may take away.
+
+        Args:
+          server: The server's name.
+        """
+        instant = self.complete_as_of(server)
+        if instant is None:
+            return None
+        return max(0.0, self.primary.instants[-1] - instant)
+
     def catch_up_seconds(
         self, server: str, position: Position, now: float
     ) -> float | None:
         """Return how long a server should still need to reach a position.
 
-        None if nothing is known of the rate at which it applies the log.
+        The server is taken to stay as far behind as it was when it was last
+        probed. None if that is not known.
 
         Args:
           server: The server's name.
@@ -189,12 +199,15 @@
         known = self.servers.get(server)
         if known is None:
             return None
-        missing = position.offset - known.position.offset
-        if missing <= 0:
+        if known.position.offset >= position.offset:
             return 0.0
-        if known.rate <= 0:
+        sent_at = known.sent_at
+        held = self.primary.instant_of(known.position.offset, sent_at)
+        wanted = self.primary.instant_of(position.offset, now)
+        if held is None or wanted is None:
             return None
-        return max(0.0, missing / known.rate - (now - known.answered_at))
+        lag = max(0.0, sent_at - held)
+        return max(0.0, wanted + lag - now)
 
     def bound_after(self, server: str, instant: float) -> Position | None:
         """Return a bound of what a read that ended at an instant has seen.
@@ -204,7 +217,7 @@
           instant: When its answer came.
         """
         known = self.servers.get(server)
-        return None if known is None else known.first_after(instant)
+        return None if known is None else known.history.first_after(instant)
 
     def floor(self, servers: tuple[str, ...]) -> Position | None:
         """Return a position that every one of some servers has reached."""
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/primary_history.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/freshness/primary_history.py
@@ -58,3 +58,19 @@
         """
         index = bisect.bisect_right(self.offsets, position.offset) - 1
         return self.instants[index] if index >= 0 else None
+
+    def instant_of(self, offset: int, newest: float) -> float | None:
+        """Return about when the primary's log came to an offset.
+
+        Args:
+          offset: A log offset.
+          newest: What to return for an offset above all that is known.
+        """
+        index = bisect.bisect_left(self.offsets, offset)
+        if index == len(self.offsets):
+            return newest
+        if index == 0:
+            return self.instants[0] if self.offsets[0] == offset else None
+        low, high = self.offsets[index - 1], self.offsets[index]
+        began, ended = self.instants[index - 1], self.instants[index]
+        return began + (ended - began) * (offset - low) / (high - low)
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/candidate.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/candidate.py
@@ -15,6 +15,7 @@
       state: Whether it is joining, serving or leaving.
       position: The proved position on the branch, if any.
       complete_as_of: The instant up to which it holds every write, if known.
+      behind: Seconds that it was behind what is known of the primary.
       catch_up: Seconds until it should reach the token, if known.
       expected: Seconds that an answer should take, with network and queue.
       failing: Whether its recent errors rule it out.
@@ -25,6 +26,7 @@
     state: ServerState = ServerState.SERVING
     position: Position | None = None
     complete_as_of: float | None = None
+    behind: float | None = None
     catch_up: float | None = None
     expected: float = 0.0
     failing: bool = False
@@ -61,3 +63,14 @@
             return False
         age = now + self.expected - self.complete_as_of
         return age <= max_age_ms / 1000
+
+    def may_prove_fresh(self, max_age_ms: int | None) -> bool:
+        """Return whether new probes might prove it to be within an age.
+
+        Args:
+          max_age_ms: The stated age in milliseconds, if any.
+        """
+        if max_age_ms is None:
+            return False
+        behind = self.behind or 0.0
+        return behind + self.expected <= max_age_ms / 1000
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choices.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choices.py
@@ -35,15 +35,19 @@
 
 @attrs.frozen
 class WaitForReplica:
-    """Wait for a replica to reach the token's position, then choose again.
+    """Wait for a replica, then choose again with `may_wait` off.
 
     Attributes:
       server: The replica's name.
       until: When to choose again without further waiting.
+      probe: Whether to probe the replica and the primary and wait for both
+        answers; if not, to wait until the replica reaches the request's
+        target.
     """
 
     server: str
     until: float
+    probe: bool = False
 
 
 @attrs.frozen
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choose_read.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choose_read.py
@@ -18,6 +18,7 @@
 WAIT_MARGIN_SECONDS = 0.02
 # What a read may take longer than on the primary to spare the primary.
 PRIMARY_RELIEF_SECONDS = 0.05
+PROBE_WAIT_SECONDS = 0.1
 RETRY_AFTER_TERM_MS = 500
 
 
@@ -48,6 +49,8 @@
     ready = [c for c in fresh if covers(c, request, branch)]
     if ready:
         return pick(ready, request, rng)
+    if not fresh:
+        return probe_or_primary(request, replicas, primary, now)
     return wait_or_primary(request, fresh, primary, now)
 
 
@@ -114,6 +117,30 @@
     return ToServer(chosen.server, chosen.complete_as_of)
 
 
+def probe_or_primary(
+    request: ReadRequest,
+    replicas: Sequence[Candidate],
+    primary: Candidate | None,
+    now: float,
+) -> ReadChoice:
+    """Return a wait for new probes where they may help, else the primary.
+
+    A read within a stated age would make the session see the primary's
+    newest data, behind which it could not go back for as long as the lag.
+    """
+    until = now + PROBE_WAIT_SECONDS
+    hopeful = [
+        c
+        for c in replicas
+        if c.may_prove_fresh(request.max_age_ms)
+        and not request.pinned_elsewhere(c.server)
+    ]
+    if not hopeful or not request.may_wait or until > request.deadline:
+        return to_primary(primary)
+    fastest = min(hopeful, key=lambda c: c.expected)
+    return WaitForReplica(fastest.server, until, probe=True)
+
+
 def wait_or_primary(
     request: ReadRequest,
     fresh: Sequence[Candidate],
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/routing_table.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/routing_table.py
@@ -71,6 +71,7 @@
             state=self.specs[name].state,
             position=evidence.position(name),
             complete_as_of=evidence.complete_as_of(name),
+            behind=evidence.seconds_behind(name),
             catch_up=self.catch_up(name, request, now),
             expected=load.expected(now),
             failing=load.failing(now),
