--- a/packages/jackdawcrank-standins/tests/backend/test_write_lock.py
+++ b/packages/jackdawcrank-standins/tests/backend/test_write_lock.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+
 from jackdawcrank_standins.backend.write_lock import WriteLock
 
 
