--- /dev/null
+++ b/bench/soak_parts/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the soak benchmark."""
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/executed_statement.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/executed_statement.py
@@ -26,6 +26,7 @@
       sql: Its text as received.
       term: The server's fence term.
       writes: Whether it is a write.
+      on_primary: Whether the server led its group.
       fate: What became of its transaction.
       position: The position of the transaction's log entry, once committed.
     """
@@ -36,5 +37,6 @@
     sql: str
     term: int
     writes: bool
+    on_primary: bool
     fate: Fate = Fate.OPEN
     position: Position | None = None
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/server.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/server.py
@@ -420,6 +420,7 @@
             sql=sql,
             term=self.replication.fence_term,
             writes=writes,
+            on_primary=self.replication.writable,
             fate=Fate.COMMITTED if transaction is None else Fate.OPEN,
         )
         self.executed.append(record)
