Let membership intervals follow the system's size

A VM that is heard but unknown is looked up, and one that the list says leaves is told so. A primary that is declared as leaving by apply is replaced first, as by drain.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/membership/evidence.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/membership/evidence.py
@@ -75,6 +75,12 @@
             return False
         return now - self.heard_at <= STREAM_FRESH_SECONDS
 
+    def in_doubt(self, now: float) -> bool:
+        """Return whether the VM's lease row should be read soon."""
+        if self.failed_at is not None:
+            return True
+        return self.heard_lately(now) and (self.leaving or self.vm is None)
+
     def lease_expired(self) -> bool:
         """Return whether readings prove that the VM stopped renewing."""
         if self.reading is None:
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/membership/membership.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/membership/membership.py
@@ -97,16 +97,17 @@
     def suspects(self, now: float) -> tuple[str, ...]:
         """Return the VMs whose lease rows should be read soon, in order.
 
-        These are the VMs whose streams fail, and leaving ones that are still
-        heard, since a new process may have taken their place.
+        These are the VMs whose streams fail, those that are heard but whose
+        address is unknown, and leaving ones that are still heard, since a
+        new process may have taken their place.
         """
-        found = (
-            name
-            for name, evidence in self.evidence.items()
-            if evidence.failed_at is not None
-            or (evidence.leaving and evidence.heard_lately(now))
+        return tuple(
+            sorted(
+                name
+                for name, evidence in self.evidence.items()
+                if name != self.own.name and evidence.in_doubt(now)
+            )
         )
-        return tuple(sorted(found))
 
     def view(self, now: float) -> MembershipView:
         """Return the VMs that count as living at an instant."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/membership/intervals.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/membership/intervals.py
@@ -5,10 +5,11 @@
 EVALUATE_SECONDS = 0.5
 SUSPECT_READ_SECONDS = 1.0
 SUSPECTS_PER_READ = 4
-PAGE_READ_SECONDS = 10.0
+CHECK_SECONDS = 0.5
 PAGE_ROWS = 40
-MIN_LIST_SECONDS = 10.0
-LIST_SECONDS_PER_VM = 0.3
+MIN_READ_SECONDS = 1.0
+LIST_SECONDS_PER_VM = 0.15
+PAGE_SECONDS_PER_ROW = 0.25
 JITTER_FRACTION = 0.2
 
 
@@ -21,4 +22,13 @@
     Args:
       vms: How many VMs the list names.
     """
-    return max(MIN_LIST_SECONDS, LIST_SECONDS_PER_VM * vms)
+    return max(MIN_READ_SECONDS, LIST_SECONDS_PER_VM * vms)
+
+
+def page_interval_seconds(rows: int) -> float:
+    """Return the time between two reads of a page of lease rows.
+
+    Args:
+      rows: How many rows the last page had.
+    """
+    return max(MIN_READ_SECONDS, PAGE_SECONDS_PER_ROW * rows)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/membership/tracker.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/membership/tracker.py
@@ -2,7 +2,7 @@
 
 import random
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from jackdawcrank.membership import intervals
 from jackdawcrank.membership.lease_row import (
@@ -18,7 +18,7 @@
     Membership,
     MembershipView,
 )
-from jackdawcrank_policy.values import Vm
+from jackdawcrank_policy.values import Vm, VmState
 
 OnView = Callable[[MembershipView], None]
 TABLE = "vms"
@@ -34,6 +34,8 @@
       counter: How often the lease row was renewed.
       page_after: Where the next page of lease rows begins.
       list_due: When the VM list is to be read again.
+      page_due: When the next page of lease rows is to be read.
+      told_to_leave: Whether the list has said that this VM leaves.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         boot: str,
         on_view: OnView = lambda view: None,
         rng: random.Random | None = None,
+        on_told_to_leave: Callable[[], None] = lambda: None,
     ) -> None:
         """Make a tracker; `start` begins its work.
 
@@ -54,7 +57,10 @@
           boot: The id of this process.
           on_view: Called with each view that differs from the one before.
           rng: The source of jitter.
+          on_told_to_leave: Called once the platform's list says that this VM
+            leaves.
         """
+        self.on_told_to_leave = on_told_to_leave
         self.store = store
         self.timer = timer
         self.own = own
@@ -65,7 +71,9 @@
         self.view = MembershipView((own.name,), (), {own.name: own})
         self.counter = 0
         self.page_after = ""
-        self.list_due = 0.0
+        self.list_due = float("-inf")
+        self.page_due = float("-inf")
+        self.told_to_leave = False
         self.subscriptions: list[Subscription] = []
 
     async def start(self) -> None:
@@ -74,8 +82,8 @@
         await self.read_list(self.timer.now())
         await self.read_page(self.timer.now())
         self.subscribe("vm lease", intervals.LEASE_RENEW_SECONDS, self.renew)
-        self.subscribe("vm list", intervals.MIN_LIST_SECONDS, self.read_list)
-        self.subscribe("vm page", intervals.PAGE_READ_SECONDS, self.read_page)
+        self.subscribe("vm list", intervals.CHECK_SECONDS, self.read_list)
+        self.subscribe("vm page", intervals.CHECK_SECONDS, self.read_page)
         self.subscribe(
             "vm suspects", intervals.SUSPECT_READ_SECONDS, self.read_suspects
         )
@@ -150,10 +158,21 @@
             return
         self.membership.listed(vms)
         interval = intervals.list_interval_seconds(len(vms))
-        self.list_due = now + interval - intervals.MIN_LIST_SECONDS / 2
+        self.list_due = now + self.jittered(interval)
+        self.check_own(vms)
+
+    def check_own(self, vms: Iterable[Vm]) -> None:
+        """Tell the listener once if the list says that this VM leaves."""
+        listed = (vm for vm in vms if vm.name == self.own.name)
+        if any(vm.state is VmState.LEAVING for vm in listed):
+            if not self.told_to_leave:
+                self.on_told_to_leave()
+            self.told_to_leave = True
 
     async def read_page(self, now: float) -> None:
         """Read the next page of lease rows, round and round."""
+        if now < self.page_due:
+            return
         page = await self.store.scan(
             TABLE, self.page_after, intervals.PAGE_ROWS
         )
@@ -162,6 +181,8 @@
         for row in page.rows:
             self.take(row, now)
         self.page_after = page.rows[-1].key if page.more else ""
+        interval = intervals.page_interval_seconds(len(page.rows))
+        self.page_due = now + self.jittered(interval)
         self.membership.forget(now)
 
     async def read_suspects(self, now: float) -> None:
@@ -176,6 +197,11 @@
             elif isinstance(row, Absent):
                 self.membership.lease_missing(name)
 
+    def jittered(self, interval_seconds: float) -> float:
+        """Return an interval made a little longer or shorter."""
+        jitter = intervals.JITTER_FRACTION
+        return interval_seconds * (1 + self.rng.uniform(-jitter, jitter))
+
     def take(self, row: Row, now: float) -> None:
         """Take in another VM's lease row."""
         lease = decode_lease_row(row.key, row.value)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/action_handlers.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/action_handlers.py
@@ -1,34 +1,24 @@
 """Handlers that make the system do something."""
 
-import functools
 from typing import Any
 
-import aiohttp
 from aiohttp import web
 
+from jackdawcrank.operators.action_answers import action_answer
 from jackdawcrank.operators.auth import ACTOR
 from jackdawcrank.operators.bodies import json_body
-from jackdawcrank.operators.ports import (
-    ActionDone,
-    ActionRefused,
-    NoSuchTarget,
-    OperatorPorts,
-)
+from jackdawcrank.operators.forward import FORWARDED, forward
+from jackdawcrank.operators.ports import OperatorPorts
 from jackdawcrank.operators.problem_answer import (
     BAD_REQUEST,
-    CONFLICT,
     UNAVAILABLE,
     error_answer,
     missing_answer,
 )
+from jackdawcrank.operators.promotions import move_primary_away, promote
 from jackdawcrank.operators.writes import WriteRequest, write
-from jackdawcrank_policy.budget import writer_names
 from jackdawcrank_policy.configuration import Kind
-from jackdawcrank_policy.values import ServerState, Vm
-
-FORWARDED = "Jackdawcrank-Forwarded"
-FORWARD_SECONDS = 10.0
-PASSED_ON = ("Authorization", "Jackdawcrank-Actor")
+from jackdawcrank_policy.values import ServerState
 
 
 class ActionHandlers:
@@ -63,24 +53,7 @@
         if server is not None and not self.is_member(server, name):
             hint = f"jackdawcrankctl describe DatabaseGroup {name}"
             return missing_answer(f"server {server} in group {name}", hint)
-        return await self.promote_at_home(request, name, server)
-
-    async def promote_at_home(
-        self, request: web.Request, group: str, server: str | None
-    ) -> web.Response:
-        """Begin a promotion here or, if this VM is no home, at one."""
-        homes = homes_of(self.ports, group)
-        if not homes or self.ports.vm in homes or FORWARDED in request.headers:
-            outcome = await self.ports.promote(group, server, request[ACTOR])
-            return action_answer(outcome)
-        path = f"/v1/groups/{group}/promote"
-        body = {} if server is None else {"server": server}
-        answer = missing_answer(f"home of group {group} in reach")
-        for vm in homes.values():
-            answer = await forward(request, vm, path, body)
-            if answer.status != UNAVAILABLE:
-                break
-        return answer
+        return await promote(self.ports, request, name, server)
 
     def is_member(self, server: str, group: str) -> bool:
         """Return whether a server belongs to a group."""
@@ -106,11 +79,9 @@
         if entry is None:
             hint = f"jackdawcrankctl get {kind} lists what there is"
             return missing_answer(f"{kind} {name}", hint)
-        group = primary_of(self.ports, name)
-        if group is not None:
-            moved = await self.promote_at_home(request, group, None)
-            if moved.status >= BAD_REQUEST:
-                return moved
+        refusal = await move_primary_away(self.ports, request, name)
+        if refusal is not None:
+            return refusal
         state = str(ServerState.LEAVING)
         spec = {**entry.document.get("spec", {}), "state": state}
         body = {"spec": spec}
@@ -165,72 +136,3 @@
         "vms": vms,
         **ports.status(),
     }
-
-
-@functools.singledispatch
-def action_answer(outcome: object) -> web.Response:
-    """Return the answer to an action with some outcome."""
-    raise TypeError(f"not an outcome: {outcome!r}")
-
-
-@action_answer.register
-def done_answer(outcome: ActionDone) -> web.Response:
-    """Return the answer to an action that was carried out."""
-    return web.json_response({"done": True, **outcome.detail})
-
-
-@action_answer.register
-def refused_answer(outcome: ActionRefused) -> web.Response:
-    """Return the answer to an action that was refused."""
-    more: dict[str, Any] = {}
-    if outcome.retry_after_ms is not None:
-        more["retryAfterMs"] = outcome.retry_after_ms
-    return error_answer(CONFLICT, "refused", outcome.detail, **more)
-
-
-@action_answer.register
-def no_target_answer(outcome: NoSuchTarget) -> web.Response:
-    """Return the answer to an action on something that does not exist."""
-    return missing_answer(outcome.detail)
-
-
-def homes_of(ports: OperatorPorts, group: str) -> dict[str, Vm]:
-    """Return the living home proxies of a group with their addresses."""
-    row = ports.follower.configuration.group_rows.get(group)
-    names = writer_names(row.writers) if row is not None else ()
-    vms = ports.members().vms
-    return {name: vms[name] for name in names if name in vms}
-
-
-def primary_of(ports: OperatorPorts, server: str) -> str | None:
-    """Return the group whose primary a server is; None if of none."""
-    configuration = ports.follower.configuration
-    spec = configuration.servers.get(server)
-    row = configuration.group_rows.get(spec.group) if spec else None
-    return row.group if row is not None and row.primary == server else None
-
-
-async def forward(
-    request: web.Request, vm: Vm, path: str, body: Any = None
-) -> web.Response:
-    """Pass an action on to another VM's resource API."""
-    url = f"http://{vm.host}:{vm.operator_port}{path}"
-    headers = {FORWARDED: "1"}
-    for name in PASSED_ON:
-        if name in request.headers:
-            headers[name] = request.headers[name]
-    limit = aiohttp.ClientTimeout(total=FORWARD_SECONDS)
-    try:
-        async with (
-            aiohttp.ClientSession(timeout=limit) as session,
-            session.post(url, json=body, headers=headers) as response,
-        ):
-            document = await response.json()
-            return web.json_response(document, status=response.status)
-    except (TimeoutError, aiohttp.ClientError, OSError) as error:
-        return error_answer(
-            UNAVAILABLE,
-            "unreachable",
-            f"VM {vm.name} can't be reached: {type(error).__name__}",
-            f"ask {url} itself, if the VM is not dead",
-        )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/promotions.py
@@ -0,0 +1,80 @@
+"""Promotions, asked of a home proxy of the group."""
+
+from aiohttp import web
+
+from jackdawcrank.operators.action_answers import action_answer
+from jackdawcrank.operators.auth import ACTOR
+from jackdawcrank.operators.forward import FORWARDED, forward
+from jackdawcrank.operators.ports import OperatorPorts
+from jackdawcrank.operators.problem_answer import (
+    BAD_REQUEST,
+    UNAVAILABLE,
+    missing_answer,
+)
+from jackdawcrank_policy.budget import writer_names
+from jackdawcrank_policy.values import Vm
+
+
+async def promote(
+    ports: OperatorPorts,
+    request: web.Request,
+    group: str,
+    server: str | None,
+) -> web.Response:
+    """Begin a promotion here or, if this VM is no home, at one.
+
+    Args:
+      ports: What the process offers.
+      request: The operator's request.
+      group: The database group.
+      server: The new primary; None leaves the choice to the system.
+    """
+    homes = homes_of(ports, group)
+    if not homes or ports.vm in homes or FORWARDED in request.headers:
+        outcome = await ports.promote(group, server, request[ACTOR])
+        return action_answer(outcome)
+    path = f"/v1/groups/{group}/promote"
+    body = {} if server is None else {"server": server}
+    answer = missing_answer(f"home of group {group} in reach")
+    for vm in homes.values():
+        answer = await forward(request, vm, path, body)
+        if answer.status != UNAVAILABLE:
+            break
+    return answer
+
+
+async def move_primary_away(
+    ports: OperatorPorts, request: web.Request, server: str
+) -> web.Response | None:
+    """Have another server made primary if the given one is.
+
+    Args:
+      ports: What the process offers.
+      request: The operator's request.
+      server: The backend server that is to leave.
+
+    Returns:
+      The refusal if the primary can't be moved; None if the server is no
+      primary any more.
+    """
+    group = primary_of(ports, server)
+    if group is None:
+        return None
+    answer = await promote(ports, request, group, None)
+    return answer if answer.status >= BAD_REQUEST else None
+
+
+def homes_of(ports: OperatorPorts, group: str) -> dict[str, Vm]:
+    """Return the living home proxies of a group with their addresses."""
+    row = ports.follower.configuration.group_rows.get(group)
+    names = writer_names(row.writers) if row is not None else ()
+    vms = ports.members().vms
+    return {name: vms[name] for name in names if name in vms}
+
+
+def primary_of(ports: OperatorPorts, server: str) -> str | None:
+    """Return the group whose primary a server is; None if of none."""
+    configuration = ports.follower.configuration
+    spec = configuration.servers.get(server)
+    row = configuration.group_rows.get(spec.group) if spec else None
+    return row.group if row is not None and row.primary == server else None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/resource_handlers.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/resource_handlers.py
@@ -16,6 +16,7 @@
     invalid_answer,
     missing_answer,
 )
+from jackdawcrank.operators.promotions import move_primary_away
 from jackdawcrank.operators.writes import (
     WriteRequest,
     missing_reference,
@@ -25,7 +26,14 @@
     write,
 )
 from jackdawcrank_policy.configuration import Kind
-from jackdawcrank_wire.resources import Invalid, known_kind, parse_resource
+from jackdawcrank_policy.values import ServerState
+from jackdawcrank_wire.resources import (
+    BackendServerSpec,
+    Invalid,
+    Resource,
+    known_kind,
+    parse_resource,
+)
 
 
 class ResourceHandlers:
@@ -87,16 +95,18 @@
         refusal = missing_reference(resource, follower.configuration)
         if refusal is not None:
             return refusal
-        return await write(
-            self.ports,
-            WriteRequest(
-                kind,
-                name,
-                row_body(resource),
-                expected.version,
-                request[ACTOR],
-            ),
+        entry = follower.configuration.entries.get((kind, name))
+        present = entry.version if entry is not None else 0
+        as_expected = expected.version in (None, present)
+        if as_expected and declares_leaving(resource):
+            refusal = await move_primary_away(self.ports, request, name)
+            if refusal is not None:
+                return refusal
+        body = row_body(resource)
+        change = WriteRequest(
+            kind, name, body, expected.version, request[ACTOR]
         )
+        return await write(self.ports, change)
 
     async def delete(self, request: web.Request) -> web.Response:
         """Delete a resource."""
@@ -117,6 +127,14 @@
         return await write(self.ports, deletion)
 
 
+def declares_leaving(resource: Resource) -> bool:
+    """Return whether a resource is a backend server that shall leave."""
+    spec = resource.spec
+    if not isinstance(spec, BackendServerSpec):
+        return False
+    return spec.state == ServerState.LEAVING
+
+
 def identity(request: web.Request) -> tuple[Kind, str]:
     """Return the kind and name in a request's path."""
     kind = known_kind(request.match_info["kind"])
--- a/packages/jackdawcrank-proxy/tests/operators/test_actions.py
+++ b/packages/jackdawcrank-proxy/tests/operators/test_actions.py
@@ -138,6 +138,29 @@
     assert ports.follower.configuration.servers["s-1"].state == "leaving"
 
 
+async def test_a_primary_that_is_declared_as_leaving_is_replaced_first(
+    http: aiohttp.ClientSession, proxies: list[Any]
+) -> None:
+    await add_row(proxies, ("vm-1",))
+    ports = proxies[0].ports
+    path = "/v1/BackendServer/s-1"
+    async with http.get(path) as answer:
+        document = await answer.json()
+    document["spec"] = {"group": "g", "host": "10.0.0.1", "port": 3306}
+    async with http.put(path, json=document) as answer:
+        assert answer.status == 200
+    assert ports.promoted == []
+    document["spec"]["state"] = "leaving"
+    document["resourceVersion"] = 1
+    async with http.put(path, json=document) as answer:
+        assert answer.status == 412
+    assert ports.promoted == []
+    document["resourceVersion"] = ports.follower.version
+    async with http.put(path, json=document) as answer:
+        assert answer.status == 200
+    assert ports.promoted == [("g", None, "ada")]
+
+
 async def test_a_primary_that_cannot_be_replaced_stays(
     http: aiohttp.ClientSession, proxies: list[Any]
 ) -> None:
