--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/admission/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/admission/__init__.py
@@ -7,6 +7,7 @@
     Refused,
 )
 from jackdawcrank_policy.admission.class_queue import ClassQueue
+from jackdawcrank_policy.admission.concurrency_limit import concurrency_limit
 from jackdawcrank_policy.admission.fair_queue import FairQueue
 from jackdawcrank_policy.admission.group_admission import GroupAdmission
 
@@ -18,4 +19,5 @@
     "GroupAdmission",
     "Queued",
     "Refused",
+    "concurrency_limit",
 ]
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choose_read.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choose_read.py
@@ -17,7 +17,7 @@
 NEAR_TIE = 1.1
 WAIT_MARGIN_SECONDS = 0.02
 # What a read may take longer than on the primary to spare the primary.
-PRIMARY_RELIEF_SECONDS = 0.05
+PRIMARY_RELIEF_SECONDS = 0.15
 PROBE_WAIT_SECONDS = 0.1
 RETRY_AFTER_TERM_MS = 500
 
