Show stored specs with all their keys

A row that leaves out defaults, as older releases and the embedded system write it, showed empty cells and drifted from files that declare the same.

--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/actions.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/actions.py
@@ -83,7 +83,7 @@
     if config.output == "json":
         print_json(answer)
     else:
-        click.echo(f"promotion of {group} has begun")
+        click.echo(f"group {group} was promoted")
         print_nested({k: v for k, v in answer.items() if k != "done"}, 2)
 
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/documents.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/documents.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from jackdawcrank_policy.configuration import Change, Entry
-from jackdawcrank_wire.resources import API_VERSION
+from jackdawcrank_policy.configuration import Change, Entry, Kind
+from jackdawcrank_wire.resources import API_VERSION, plain, stored_spec
 
 
 def resource_view(
@@ -15,7 +15,7 @@
         "apiVersion": API_VERSION,
         "kind": kind,
         "metadata": {"name": name},
-        "spec": entry.document.get("spec", {}),
+        "spec": full_spec(kind, entry.document.get("spec", {})),
         "status": {
             "changedBy": entry.actor,
             "changedAt": entry.at,
@@ -25,6 +25,16 @@
     }
 
 
+def full_spec(kind: str, spec: Mapping[str, Any]) -> dict[str, Any]:
+    """Return a stored spec with the defaults of the keys that it leaves out.
+
+    A row that an older release wrote lacks newer keys.
+    """
+    known_spec = stored_spec(Kind(kind), spec)
+    defaults = plain(known_spec) if known_spec is not None else {}
+    return {**defaults, **spec}
+
+
 def change_view(change: Change) -> dict[str, Any]:
     """Return a change as one line of a watch."""
     document = dict(change.document)
--- a/packages/jackdawcrank-proxy/tests/operators/test_resources.py
+++ b/packages/jackdawcrank-proxy/tests/operators/test_resources.py
@@ -158,6 +158,20 @@
     assert (await get(http, GROUP))[0] == 404
 
 
+async def test_a_row_of_another_release_is_shown_with_all_keys(
+    http: aiohttp.ClientSession, proxy: Any
+) -> None:
+    spec = {"slotsPerServer": 3, "newer": 1}
+    await proxy.ports.change_log.append(
+        "DatabaseGroup", "a", {"spec": spec}, 0, "ada"
+    )
+    await proxy.ports.follower.read()
+    shown = (await get(http, GROUP))[1]["spec"]
+    assert shown["slotsPerServer"] == 3
+    assert shown["newer"] == 1
+    assert shown["connectionLimit"] == 80
+
+
 async def test_a_group_applied_elsewhere_a_moment_ago_is_found(
     http: aiohttp.ClientSession, other_http: aiohttp.ClientSession
 ) -> None:
