Order the time line by hints within the skew of clocks

A lower term or version always came first, which moved the late events of a lagging VM back by any time and hid the lag; a test demanded it over a gap of 80 s. Hints now decide only within 2 s, and the test has such clocks; another one keeps the late event in place. Spans of promotions had ids that changed with the term.

--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/events/merge.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/events/merge.py
@@ -1,16 +1,22 @@
 """One ordered view of many VMs' events."""
 
+import bisect
 import collections
 import collections.abc
-import heapq
-
-import attrs
+import itertools
 
+from jackdawcrank_wire.events.event_kind import EventKind
 from jackdawcrank_wire.events.timeline_event import TimelineEvent
 
+MAX_CLOCK_SKEW_SECONDS = 2.0
+JUST_AFTER_SECONDS = 1e-6
+MAX_PASSES = 5
 CONFIG_VERSION_DETAIL = "config_version"
+APPLIED_VERSION_DETAIL = "version"
 
 Stream = list[TimelineEvent]
+Times = list[list[float]]
+Place = tuple[int, int]
 
 
 def merge_events(
@@ -19,22 +25,23 @@
     """Return events of many VMs in one order.
 
     Within one process the sequence decides. Between processes the wall clock
-    decides, except that what is known of cause and effect goes first: an
-    event of a group's lower term comes before one of a higher term, and an
-    event of a lower configuration version before one of a higher version.
-    For this a stream's head waits while another stream still has an event
-    that must come before it; where hints contradict each other, the wall
-    clock decides. An event that is given twice appears once.
+    decides, except where it can be told to be wrong: an event of a group's
+    lower term, or of a lower configuration version, comes before one of a
+    higher, as far as clocks may differ by `MAX_CLOCK_SKEW_SECONDS`. What is
+    further apart is taken for a VM that lags behind. An event that is given
+    twice appears once.
 
     Args:
       events: The events, in any order.
     """
     streams = split_streams(events)
-    order = MergeOrder(streams)
-    merged = []
-    while order.heads:
-        merged.append(order.pop())
-    return merged
+    times = corrected_times(streams)
+    keyed = [
+        (times[number][index], number, index, event)
+        for number, stream in enumerate(streams)
+        for index, event in enumerate(stream)
+    ]
+    return [event for *_, event in sorted(keyed, key=lambda entry: entry[:3])]
 
 
 def split_streams(
@@ -55,14 +62,66 @@
     ]
 
 
-def config_version(event: TimelineEvent) -> int:
-    """Return the configuration version that an event names; 0 for none.
+def corrected_times(streams: list[Stream]) -> Times:
+    """Return each event's wall time, moved behind what must precede it.
+
+    Moving one event may call for moving others; hints that contradict each
+    other end after `MAX_PASSES`.
 
     Args:
-      event: The event.
+      streams: Each process's events by sequence.
     """
-    text = event.detail.get(CONFIG_VERSION_DETAIL, "")
-    return int(text) if text.isdecimal() else 0
+    counters = find_counters(streams)
+    times = [[event.wall for event in stream] for stream in streams]
+    for _ in range(MAX_PASSES):
+        times = [list(itertools.accumulate(walls, max)) for walls in times]
+        moved = [
+            move_behind_lower(counter, times) for counter in counters.values()
+        ]
+        if not any(moved):
+            break
+    return [list(itertools.accumulate(walls, max)) for walls in times]
+
+
+def find_counters(streams: list[Stream]) -> dict[str, dict[int, list[Place]]]:
+    """Return the places of events by the counters and values they name.
+
+    Args:
+      streams: Each process's events by sequence.
+    """
+    counters: dict[str, dict[int, list[Place]]]
+    counters = collections.defaultdict(lambda: collections.defaultdict(list))
+    for number, stream in enumerate(streams):
+        for index, event in enumerate(stream):
+            for name, value in hints(event):
+                counters[name][value].append((number, index))
+    return counters
+
+
+def move_behind_lower(
+    places_by_value: dict[int, list[Place]], times: Times
+) -> bool:
+    """Move events behind those with lower values of one counter.
+
+    Args:
+      places_by_value: The places of events by the counter's value.
+      times: Each event's time; changed in place.
+
+    Returns:
+      Whether any event was moved.
+    """
+    moved = False
+    lower: list[float] = []
+    for _, places in sorted(places_by_value.items()):
+        for number, index in places:
+            own = times[number][index]
+            reach = bisect.bisect_right(lower, own + MAX_CLOCK_SKEW_SECONDS)
+            if reach and lower[reach - 1] >= own:
+                times[number][index] = lower[reach - 1] + JUST_AFTER_SECONDS
+                moved = True
+        for number, index in places:
+            bisect.insort(lower, times[number][index])
+    return moved
 
 
 def hints(event: TimelineEvent) -> list[tuple[str, int]]:
@@ -79,77 +138,13 @@
     return found
 
 
-@attrs.define
-class MergeOrder:
-    """The streams' heads and what still has to come before them.
+def config_version(event: TimelineEvent) -> int:
+    """Return the configuration version that an event names; 0 for none.
 
-    Attributes:
-      streams: Each process's events by sequence.
-      heads: The next event of each stream that has one, by wall clock.
-      next_index: The index of each stream's head.
-      pending: For each counter, how often each value is still to come.
+    Args:
+      event: The event.
     """
-
-    streams: list[Stream]
-    heads: list[tuple[float, int]] = attrs.field(init=False, factory=list)
-    next_index: list[int] = attrs.field(init=False)
-    pending: dict[str, collections.Counter[int]] = attrs.field(
-        init=False, factory=lambda: collections.defaultdict(collections.Counter)
-    )
-
-    def __attrs_post_init__(self) -> None:
-        self.next_index = [0] * len(self.streams)
-        for number, stream in enumerate(self.streams):
-            heapq.heappush(self.heads, (stream[0].wall, number))
-            for event in stream:
-                for counter, value in hints(event):
-                    self.pending[counter][value] += 1
-
-    def pop(self) -> TimelineEvent:
-        """Remove and return the next event of the merged order."""
-        waiting = []
-        chosen = heapq.heappop(self.heads)
-        while self.must_wait(self.head(chosen[1])) and self.heads:
-            waiting.append(chosen)
-            chosen = heapq.heappop(self.heads)
-        if self.must_wait(self.head(chosen[1])) and waiting:
-            waiting.append(chosen)
-            chosen = waiting.pop(0)
-        for entry in waiting:
-            heapq.heappush(self.heads, entry)
-        return self.take(chosen[1])
-
-    def head(self, number: int) -> TimelineEvent:
-        """Return the next event of a stream.
-
-        Args:
-          number: The stream's number.
-        """
-        return self.streams[number][self.next_index[number]]
-
-    def must_wait(self, event: TimelineEvent) -> bool:
-        """Return whether an event with a lower counter is still to come.
-
-        Args:
-          event: The head of a stream.
-        """
-        return any(
-            min(self.pending[counter]) < value
-            for counter, value in hints(event)
-        )
-
-    def take(self, number: int) -> TimelineEvent:
-        """Remove and return the head of a stream.
-
-        Args:
-          number: The stream's number.
-        """
-        event = self.head(number)
-        self.next_index[number] += 1
-        if self.next_index[number] < len(self.streams[number]):
-            heapq.heappush(self.heads, (self.head(number).wall, number))
-        for counter, value in hints(event):
-            self.pending[counter][value] -= 1
-            if not self.pending[counter][value]:
-                del self.pending[counter][value]
-        return event
+    text = event.detail.get(CONFIG_VERSION_DETAIL, "")
+    if not text and event.kind == EventKind.CONFIG_APPLIED:
+        text = event.detail.get(APPLIED_VERSION_DETAIL, "")
+    return int(text) if text.isdecimal() else 0
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/events/trace_events.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/events/trace_events.py
@@ -33,9 +33,11 @@
 
 
 class TraceRows:
-    """Numbers of processes and threads in a trace."""
+    """Numbers of processes, threads and spans in a trace."""
 
     def __init__(self) -> None:
+        self.open_spans: dict[tuple[str, str], str] = {}
+        self.span_count = 0
         self.processes: dict[str, int] = {}
         self.threads: dict[tuple[str, str], int] = {}
 
@@ -50,6 +52,25 @@
         tid = self.threads.setdefault(row, len(self.threads) + 1)
         return {"pid": pid, "tid": tid}
 
+    def begin_span(self, event: TimelineEvent) -> str:
+        """Return the id of a span that begins on an event's VM and group.
+
+        Args:
+          event: The event.
+        """
+        self.span_count += 1
+        span_id = f"{event.group}/{self.span_count}"
+        self.open_spans[event.vm, event.group] = span_id
+        return span_id
+
+    def end_span(self, event: TimelineEvent) -> str | None:
+        """Return the id of the span that an event ends; None if none is open.
+
+        Args:
+          event: The event.
+        """
+        return self.open_spans.pop((event.vm, event.group), None)
+
     def names(self) -> list[Entry]:
         """Return the entries that name processes and threads."""
         processes: list[Entry] = [
@@ -99,18 +120,19 @@
       event: The event.
       rows: Where processes and threads are numbered.
     """
+    phase, span_id = "", None
     if event.kind == PROMOTION_START:
-        phase = "b"
+        phase, span_id = "b", rows.begin_span(event)
     elif event.kind in PROMOTION_ENDS:
-        phase = "e"
-    else:
+        phase, span_id = "e", rows.end_span(event)
+    if span_id is None:
         return []
     return [
         {
             "name": "promotion",
             "cat": "promotion",
             "ph": phase,
-            "id": f"{event.group}/{event.term}",
+            "id": span_id,
             "ts": round(event.wall * MICROSECONDS_PER_SECOND),
             **rows.place(event),
         }
