Check the histories of whole runs under overlapping faults

write_histories runs a group through six overlapping faults (cuts of random sets, pauses, lost hosts, store outages, planned moves, one store answer in ten lost), with callers that repeat unknown writes under their id through other homes, and through a store outage of an hour.

Broken promises and term starts that are not moved down were not found by these runs; tests of the policy cover both.

--- a/bench/writes_model/model_control.py
+++ b/bench/writes_model/model_control.py
@@ -14,6 +14,8 @@
 from jackdawcrank_standins.history import ModelServer
 from writes_model.network import Network
 
+CONFIRM_PAUSE_SECONDS = 0.005
+
 Act = Callable[[], bool]
 
 
@@ -87,10 +89,17 @@
     async def confirm(
         self, position: Position, timeout_seconds: float
     ) -> int | None:
-        """Return the server's term if it holds a position, else None."""
-        return await self.network.request(
-            self.vm,
-            self.name,
-            lambda: self.server.confirm(position),
-            timeout_seconds,
-        )
+        """Return the server's term once it holds a position, else None."""
+        clock = asyncio.get_running_loop().time
+        deadline = clock() + timeout_seconds
+        while clock() < deadline:
+            term = await self.network.request(
+                self.vm,
+                self.name,
+                lambda: self.server.confirm(position),
+                deadline - clock(),
+            )
+            if term is not None:
+                return term
+            await asyncio.sleep(CONFIRM_PAUSE_SECONDS)
+        return None
--- a/bench/writes_model/model_proxy.py
+++ b/bench/writes_model/model_proxy.py
@@ -4,21 +4,27 @@
 import random
 from collections.abc import Callable, Mapping
 
+import attrs
+
 from jackdawcrank.groups import GroupAgent
 from jackdawcrank.timer import Subscription, TimerService
 from jackdawcrank_policy.acknowledgement import (
+    AwaitTerm,
     NeedConfirmation,
     Quorum,
     acknowledge,
+    settle,
 )
 from jackdawcrank_policy.lease import LeaseState, LeaseTable
 from jackdawcrank_policy.values import (
     Done,
     GroupPhase,
+    GroupRow,
     GroupSpec,
     Position,
+    Unknown,
 )
-from jackdawcrank_standins.history import ModelServer
+from jackdawcrank_standins.history import CallerOutcome, ModelServer
 from writes_model.model_control import ModelControl
 from writes_model.model_peers import ModelPeers
 from writes_model.model_store import ModelStore
@@ -27,10 +33,29 @@
 HEAD_INTERVAL_SECONDS = 1.0
 WRITE_TIMEOUT_SECONDS = 1.0
 CONFIRM_TIMEOUT_SECONDS = 0.5
+SETTLE_SECONDS = 8.0
+ROW_CHECK_SECONDS = 0.05
 
 Asked = dict[str, asyncio.Task[int | None]]
 
 
+@attrs.frozen
+class WriteResult:
+    """What a caller is told of one attempt to write.
+
+    Attributes:
+      outcome: What became of it.
+      term: The term that acknowledged it; 0 for none.
+    """
+
+    outcome: CallerOutcome
+    term: int = 0
+
+
+NOT_RUN = WriteResult(CallerOutcome.NOT_RUN)
+UNKNOWN = WriteResult(CallerOutcome.UNKNOWN)
+
+
 class ModelProxy:
     """The home of a group on one VM."""
 
@@ -105,44 +130,82 @@
             self.applied = version
         self.leases.renew(sent_at, version)
 
-    async def write(self, write_id: str) -> int | None:
-        """Write once; return the term that acknowledged it, or None."""
+    async def write(self, write_id: str) -> WriteResult:
+        """Write once and tell what became of it.
+
+        Args:
+          write_id: The request id, by which the server finds a repeat.
+        """
         row = self.leases.rows.get(self.spec.name)
         if row is None or row.phase is not GroupPhase.ACTIVE:
-            return None
+            return NOT_RUN
         if self.state(row.term) is LeaseState.CLOSED:
-            return None
+            return NOT_RUN
         server = self.servers[row.primary]
-        position = await self.network.request(
+        answer = await self.network.request(
             self.vm,
             server.name,
-            lambda: server.commit(write_id),
+            lambda: (server.commit(write_id),),
             WRITE_TIMEOUT_SECONDS,
         )
-        if position is None or position.term != row.term:
-            return None
-        return await self.acknowledge(position, row.primary)
+        if answer is None:
+            return UNKNOWN
+        if answer[0] is None:
+            return NOT_RUN
+        return await self.acknowledge(answer[0], row.term)
+
+    async def acknowledge(self, position: Position, term: int) -> WriteResult:
+        """Return what the caller may be told of a committed write.
+
+        Args:
+          position: The write's position.
+          term: The term of the primary that committed it.
+        """
+        deadline = self.timer.now() + SETTLE_SECONDS
+        while self.timer.now() < deadline:
+            verdict = await self.confirm(position, term)
+            if isinstance(verdict, Done):
+                return WriteResult(CallerOutcome.DONE, term)
+            if not isinstance(verdict, AwaitTerm):
+                return UNKNOWN
+            row = await self.row_above(verdict.above, deadline)
+            if row is None:
+                return UNKNOWN
+            if not isinstance(settle(position, row.branch), Done):
+                return NOT_RUN
+            term = row.term
+        return UNKNOWN
+
+    async def row_above(self, term: int, deadline: float) -> GroupRow | None:
+        """Wait for an open term above one."""
+        while self.timer.now() < deadline:
+            row = self.leases.rows[self.spec.name]
+            if row.phase is GroupPhase.ACTIVE and row.term > term:
+                return row
+            await asyncio.sleep(ROW_CHECK_SECONDS)
+        return None
 
-    async def acknowledge(self, position: Position, primary: str) -> int | None:
-        """Return the term once the write may be acknowledged, else None."""
+    async def confirm(
+        self, position: Position, term: int
+    ) -> Done | AwaitTerm | Unknown:
+        """Return whether a write may be acknowledged under a term."""
         replies: dict[str, int | None] = {}
-        replicas = tuple(name for name in self.servers if name != primary)
+        row = self.leases.rows[self.spec.name]
+        replicas = tuple(name for name in self.servers if name != row.primary)
         asked: Asked = {}
         try:
             while True:
                 verdict = acknowledge(
                     position,
-                    position.term,
-                    self.state(position.term),
+                    term,
+                    self.state(term),
                     Quorum(len(self.servers)),
                     self.spec.confirm_writes,
                     replicas,
                     replies,
                 )
-                if isinstance(verdict, Done):
-                    return position.term
                 if not isinstance(verdict, NeedConfirmation):
-                    return None
+                    return verdict
                 await self.ask(verdict.servers, position, asked, replies)
         finally:
             for task in asked.values():
--- a/bench/writes_model/world.py
+++ b/bench/writes_model/world.py
@@ -24,6 +24,8 @@
 GROUP = "ledger"
 WRITE_INTERVAL_SECONDS = 0.03
 FINE_WRITE_INTERVAL_SECONDS = 0.01
+CALLER_TRIES = 6
+CALLER_PAUSE_SECONDS = (0.05, 0.6)
 PULL_INTERVAL_SECONDS = 0.01
 STORE_SERVICE_SECONDS = 0.004
 
@@ -221,17 +223,35 @@
 
     async def write_once(self, vm: str, write_id: str) -> None:
         """Send one write and record its acknowledgement."""
-        term = await self.proxies[vm].write(write_id)
-        if term is None:
-            return
-        self.acks.append(Ack(self.now, vm, term))
+        result = await self.proxies[vm].write(write_id)
+        if result.outcome is CallerOutcome.DONE:
+            self.acks.append(Ack(self.now, vm, result.term))
+            self.record(write_id, result.outcome, result.term)
+
+    async def write_until_known(self, vm: str, write_id: str) -> None:
+        """Send a write, repeating it through other homes until it stands.
+
+        An attempt that may have run makes the whole unknown, whatever the
+        later ones say short of success.
+        """
+        worst = CallerOutcome.NOT_RUN
+        for _ in range(CALLER_TRIES):
+            result = await self.proxies[vm].write(write_id)
+            if result.outcome is CallerOutcome.DONE:
+                self.acks.append(Ack(self.now, vm, result.term))
+                self.record(write_id, result.outcome, result.term)
+                return
+            if result.outcome is CallerOutcome.UNKNOWN:
+                worst = result.outcome
+            await asyncio.sleep(self.rng.uniform(*CALLER_PAUSE_SECONDS))
+            vm = self.rng.choice(self.homes)
+        self.record(write_id, worst, 0)
+
+    def record(self, write_id: str, outcome: CallerOutcome, term: int) -> None:
+        """Record what a caller was told."""
         self.history.answers.append(
             CallerRecord(
-                write_id,
-                CallerOutcome.DONE,
-                self.now,
-                term,
-                self.spec.confirm_writes,
+                write_id, outcome, self.now, term, self.spec.confirm_writes
             )
         )
 
