--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/events/trace_events.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/events/trace_events.py
@@ -37,7 +37,6 @@
 
     def __init__(self) -> None:
         self.open_spans: dict[tuple[str, str], str] = {}
-        self.span_count = 0
         self.processes: dict[str, int] = {}
         self.threads: dict[tuple[str, str], int] = {}
 
@@ -58,8 +57,7 @@
         Args:
           event: The event.
         """
-        self.span_count += 1
-        span_id = f"{event.group}/{self.span_count}"
+        span_id = f"{event.group}/{event.term}"
         self.open_spans[event.vm, event.group] = span_id
         return span_id
 
