--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -28,7 +28,9 @@
     time_line,
 )
 from slopes_parts.capacity import check_budgets, extrapolate, totals
+from slopes_parts.events import extrapolate_events
 from slopes_parts.fit import Slope
+from slopes_parts.page import write_page
 
 Measure = collections.abc.Callable[
     [int], collections.abc.Coroutine[None, None, list[Any]]
@@ -73,7 +75,11 @@
         cwd=pathlib.Path(__file__).parent,
         stdout=asyncio.subprocess.PIPE,
     )
-    output, _ = await process.communicate()
+    try:
+        output, _ = await process.communicate()
+    finally:
+        if process.returncode is None:
+            process.kill()
     if process.returncode:
         raise RuntimeError(f"{name} ended with {process.returncode}")
     return list(json.loads(output))
@@ -97,8 +103,11 @@
     Args:
       seed: The seed of the proxies' jitter.
     """
-    lanes = await asyncio.gather(*(run_lane(lane, seed) for lane in LANES))
-    measured = {name: rows for lane in lanes for name, rows in lane.items()}
+    async with asyncio.TaskGroup() as group:
+        lanes = [group.create_task(run_lane(lane, seed)) for lane in LANES]
+    measured = {
+        name: rows for lane in lanes for name, rows in lane.result().items()
+    }
     rows = measured.pop("coordination_alone")
     rows += measured.pop("coordination_shared")
     slopes = coordination.fit_rows(rows)
@@ -128,6 +137,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--part", choices=PARTS)
+    parser.add_argument("--write-page", action="store_true")
     arguments = parser.parse_args()
     if arguments.part:
         print_part(arguments.part, arguments.seed)
@@ -139,6 +149,7 @@
         "slopes": [attrs.asdict(slope) for slope in slopes],
         "full_size": [attrs.asdict(line) for line in lines],
         "totals": totals(lines),
+        "events": [attrs.asdict(line) for line in extrapolate_events(slopes)],
     }
     sizes = Check(
         "sizes at which each slope was measured",
@@ -146,6 +157,8 @@
         f"at least {MIN_SIZES}",
         fewest >= MIN_SIZES,
     )
+    if arguments.write_page:
+        write_page(figures, arguments.seed)
     write_result(
         "slopes", arguments.seed, figures, [sizes, *check_budgets(lines)]
     )
--- a/bench/slopes_parts/caller_front.py
+++ b/bench/slopes_parts/caller_front.py
@@ -102,9 +102,13 @@
       front: The front.
       callers: The callers.
     """
-    memory, cpu = [], []
+    memory, cpu, login = [], [], []
+    spent = 0.0
     for count in CONNECTIONS:
+        before = begin_usage()
         await callers.ask(do="open", port=front.port, count=int(count))
+        spent += end_usage().cpu - before.cpu
+        login.append(spent)
         memory.append(float(memory_bytes()))
         before = begin_usage()
         await asyncio.sleep(IDLE_SECONDS)
@@ -114,6 +118,7 @@
     return [
         fit_line(ROLE, unit, "memory, bytes", CONNECTIONS, memory),
         fit_line(ROLE, unit, "processor time, s/s", CONNECTIONS, cpu),
+        fit_line(ROLE, "login", "processor time, s", CONNECTIONS, login),
     ]
 
 
--- a/bench/slopes_parts/capacity.py
+++ b/bench/slopes_parts/capacity.py
@@ -35,6 +35,7 @@
 # Leaving, gone and back.
 VIEW_RATE = 3 * (RESTARTS_PER_DAY + LOST_PER_DAY) / SECONDS_PER_DAY
 LIST_SECONDS = intervals.list_interval_seconds(VMS)
+PAGE_SECONDS = intervals.page_interval_seconds(intervals.PAGE_ROWS)
 
 MEMORY = "memory, bytes"
 CPU = "control, processor time, s/s"
@@ -219,13 +220,12 @@
     Args:
       full: Takes the lines.
     """
-    page = (intervals.PAGE_READ_SECONDS, intervals.PAGE_ROWS)
     cpu, traffic = "processor time, s", "store traffic, bytes"
     renew = "lease renewal"
     full.add_step(CPU, f"{renew}, {cpu}", intervals.LEASE_RENEW_SECONDS)
     full.add_step(TRAFFIC, f"{renew}, {traffic}", intervals.LEASE_RENEW_SECONDS)
-    full.add_step(CPU, f"page of lease rows, {cpu}", page[0])
-    full.add_step(TRAFFIC, f"page of lease rows, {traffic}", page[0])
+    full.add_step(CPU, f"page of lease rows, {cpu}", PAGE_SECONDS)
+    full.add_step(TRAFFIC, f"page of lease rows, {traffic}", PAGE_SECONDS)
     full.add_step(CPU, f"evaluation, {cpu}", intervals.EVALUATE_SECONDS)
     full.add_step(CPU, f"VM list, {cpu}", LIST_SECONDS)
     full.add_step(TRAFFIC, f"VM list, {traffic}", LIST_SECONDS)
@@ -280,7 +280,7 @@
     """
     reads = {
         "head of the change log": HEAD_READ_SECONDS,
-        "page of lease rows": intervals.PAGE_READ_SECONDS,
+        "page of lease rows": PAGE_SECONDS,
         "VM list": LIST_SECONDS,
     }
     for unit, seconds in reads.items():
--- a/bench/slopes_parts/membership.py
+++ b/bench/slopes_parts/membership.py
@@ -4,7 +4,7 @@
 import time
 import urllib.parse
 
-from jackdawcrank.membership import MembershipTracker, intervals
+from jackdawcrank.membership import MembershipTracker
 from jackdawcrank.store import StoreClient
 from jackdawcrank.timer import ManualTimer
 from jackdawcrank_policy.homes import home_vms
@@ -19,11 +19,6 @@
 HASHED_GROUPS = 20
 ROLE = "membership"
 UNIT = "VM listed"
-SECONDS_BETWEEN = {
-    "lease renewal": intervals.LEASE_RENEW_SECONDS,
-    "page of lease rows": intervals.PAGE_READ_SECONDS,
-    "evaluation": intervals.EVALUATE_SECONDS,
-}
 
 
 async def measure(seed: int) -> list[Slope]:
@@ -73,10 +68,11 @@
     }
     port = {urllib.parse.urlsplit(url).port or 0}
     for name, step in steps.items():
+        tracker.list_due = tracker.page_due = 0.0
         await step(0.0)
         before = begin_usage()
         for _ in range(CALLS):
-            tracker.list_due = 0.0
+            tracker.list_due = tracker.page_due = 0.0
             await step(0.0)
         after = end_usage()
         traffic = after.on(port) - before.on(port)
--- a/bench/slopes_parts/peer_streams.py
+++ b/bench/slopes_parts/peer_streams.py
@@ -1,9 +1,11 @@
 """What a stream between two proxies costs one end."""
 
 import asyncio
+import time
 
 from jackdawcrank.peers import PeerHandlers, PeerLinks, PeerServer
 from jackdawcrank_policy.values import Position
+from jackdawcrank_wire.codec import Codec, JsonCodec, MsgpackCodec
 from jackdawcrank_wire.messages import (
     Answer,
     ColumnInfo,
@@ -13,15 +15,18 @@
 )
 from slopes_parts.fit import Slope, fit_line
 from slopes_parts.remote import Remote
-from slopes_parts.remote_peers import SECRET
+from slopes_parts.remote_peers import SECRET, STATEMENT
 from slopes_parts.usage import begin_usage, end_usage, memory_bytes
 
 STREAMS = [50.0, 100.0, 200.0, 400.0]
 STATEMENTS = [1600.0, 3200.0, 6400.0]
+MESSAGES = [5000.0, 10000.0, 20000.0]
 HOLD_SECONDS = 2.0
 HOLD_SETTLE_SECONDS = 0.2
 IDLE_SETTLE_SECONDS = 0.3
 IDLE_SECONDS = 0.7
+# Longer than an acknowledgement may be delayed.
+NOTICE_PAUSE_SECONDS = 0.1
 CHANGES = 5
 ROLE = "peer streams"
 RESULT = ResultRows(
@@ -59,6 +64,7 @@
     await peers.start()
     slopes = await measure_streams(server, links, peers)
     slopes += await measure_statements(peers)
+    slopes += measure_codecs()
     await peers.close()
     await server.close()
     await links.close()
@@ -76,9 +82,13 @@
       peers: The other ends.
     """
     figures: dict[str, list[float]] = {}
+    spent = 0.0
     for count in STREAMS:
+        before = begin_usage()
         await peers.ask(do="open", port=server.port, count=int(count))
-        row = {"memory, bytes": float(memory_bytes())}
+        spent += end_usage().cpu - before.cpu
+        row = {"opened, processor time, s": spent}
+        row["memory, bytes"] = float(memory_bytes())
         row |= await measure_idle()
         row |= await measure_broadcast(links)
         row |= await measure_held(peers)
@@ -100,6 +110,8 @@
         return "stream with a request outstanding"
     if quantity.startswith("notice"):
         return "open stream, per notice to all"
+    if quantity.startswith("opened"):
+        return "stream accepted, with its handshake"
     return "open stream"
 
 
@@ -125,7 +137,7 @@
     before = begin_usage()
     for version in range(CHANGES):
         links.broadcast(ConfigVersion(version))
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(NOTICE_PAUSE_SECONDS)
     after = end_usage()
     traffic = after.on() - before.on()
     return {
@@ -154,6 +166,27 @@
     }
 
 
+def measure_codecs() -> list[Slope]:
+    """Return what a message costs to encode and decode, by codec."""
+    codecs: dict[str, Codec] = {"msgpack": MsgpackCodec(), "JSON": JsonCodec()}
+    message = Execute(81723, STATEMENT)
+    slopes = []
+    for name, codec in codecs.items():
+        cpu, size = [], []
+        for count in MESSAGES:
+            started = time.process_time()
+            for _ in range(int(count)):
+                codec.decode(codec.encode(message))
+            cpu.append(time.process_time() - started)
+            size.append(count * len(codec.encode(message)))
+        unit = f"statement as {name}"
+        slopes += [
+            fit_line("codec", unit, "encoding and decoding, s", MESSAGES, cpu),
+            fit_line("codec", unit, "body, bytes", MESSAGES, size),
+        ]
+    return slopes
+
+
 async def measure_statements(peers: Remote) -> list[Slope]:
     """Return what a forwarded statement costs each end.
 
--- a/bench/slopes_parts/remote_peers.py
+++ b/bench/slopes_parts/remote_peers.py
@@ -16,6 +16,16 @@
 TASKS = 16
 SECRET = b"secret of the benchmark"
 SQL = b"SELECT plot, carbon FROM samples WHERE id = 7"
+STATEMENT = StatementRequest(
+    "soil",
+    SQL,
+    caller="app",
+    session_id="vm-0000:5f3a-17",
+    token="3:81723",
+    max_age_ms=5000,
+    kind=StatementKind.READ,
+    setup=("SET time_zone = 'UTC'",),
+)
 
 links: list[PeerLinks] = []
 
@@ -47,18 +57,8 @@
 
 async def forward(count: int) -> None:
     """Forward statements one after the other."""
-    statement = StatementRequest(
-        "soil",
-        SQL,
-        caller="app",
-        session_id="vm-0000:5f3a-17",
-        token="3:81723",
-        max_age_ms=5000,
-        kind=StatementKind.READ,
-        setup=("SET time_zone = 'UTC'",),
-    )
     for _ in range(count):
-        answer = await links[0].request("home", Execute(0, statement), 10.0)
+        answer = await links[0].request("home", Execute(0, STATEMENT), 10.0)
         assert type(answer).__name__ == "Answer", answer
 
 
