--- /dev/null
+++ b/bench/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""The page of measurements and its plots."""
