--- a/packages/jackdawcrank-proxy/tests/store/test_change_log.py
+++ b/packages/jackdawcrank-proxy/tests/store/test_change_log.py
@@ -168,7 +168,8 @@
             token = f"{writer}/{number}"
             log.new_token = lambda token=token: token  # type: ignore[misc]
             slots = 1 + writer + WRITERS * number
-            outcome = await log.append(GROUP, "a", body(slots), None, "w")
+            name = "shared" if number % 2 else f"own-{writer}"
+            outcome = await log.append(GROUP, name, body(slots), None, "w")
             found.append((token, outcome))
         return found
 
