--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/budget_ledger.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/budget_ledger.py
@@ -12,8 +12,10 @@
     """The seats of a group as one VM has applied them.
 
     A VM uses the share of the seat that the newest row it has applied gives
-    it, and none if it has none. A process that has just begun uses none for
-    a while, since one that ran before it under the VM's name may have left
+    it, and none if it has none. The first row that a process applies is read
+    from the store after the process began, so that it never uses a seat that
+    its VM had lost by then. A process that has just begun uses none for a
+    while, since one that ran before it under the VM's name may have left
     connections behind.
 
     Attributes:
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/seats.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/budget/seats.py
@@ -3,10 +3,11 @@
 A group's row lists its writers by seat. Each seat has a fixed share of the
 limit, whatever the number of writers, and an owner: a VM, or a departed VM
 that may still have connections open. A seat passes from a departed VM to
-another only after the departed one released it or is proved to be gone and
-its connections have run out. So at any moment, whichever version of the row
-each VM has applied, a seat's connections belong to one VM, and the sum over
-the seats never passes the limit.
+another only after the departed one released it, or after its process ended or
+was found ended while the row called it departed, and its connections have run
+out. So at any moment, whichever version of the row each VM has applied, a
+seat's connections belong to one VM, and the sum over the seats never passes
+the limit.
 """
 
 from collections.abc import Collection, Sequence
--- a/packages/jackdawcrank-policy/tests/admission/test_group_admission.py
+++ b/packages/jackdawcrank-policy/tests/admission/test_group_admission.py
@@ -76,6 +76,14 @@
     assert admitted(gate.finish(1, 0.46)) == [3]
 
 
+def test_a_freed_slot_is_not_given_to_what_comes_too_late() -> None:
+    gate = GroupAdmission(limit=1, service=0.1)
+    gate.offer(ask(1), 0.0)
+    gate.offer(ask(2, deadline=0.5), 0.0)
+    results = gate.finish(1, 0.45)
+    assert [type(result) for result in results] == [Refused]
+
+
 def test_callers_take_turns() -> None:
     gate = GroupAdmission(limit=1)
     gate.offer(ask(0), 0.0)
