--- a/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_links.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_links.py
@@ -93,9 +93,11 @@
         Args:
           addresses: Each VM's IP address and peer port.
         """
-        for vm, address in addresses.items():
-            if self.addresses.get(vm) != address:
-                self.backoffs.pop(vm, None)
+        self.backoffs = {
+            vm: backoff
+            for vm, backoff in self.backoffs.items()
+            if addresses.get(vm) == self.addresses.get(vm)
+        }
         self.addresses = dict(addresses)
 
     def connected(self) -> list[str]:
@@ -218,10 +220,10 @@
           vm: The VM.
         """
         now = asyncio.get_running_loop().time()
-        backoff = self.backoffs.setdefault(vm, Backoff(self.rng))
         address = self.addresses.get(vm)
         if self.closed or address is None or vm == self.vm:
             return PeerUnreachable(vm, False, "no address")
+        backoff = self.backoffs.setdefault(vm, Backoff(self.rng))
         if not backoff.allows(now):
             return PeerUnreachable(vm, False, "failed a short time ago")
         connection = await self.connector.dial(vm, *address)
--- a/packages/jackdawcrank-proxy/tests/peers/test_peer_links.py
+++ b/packages/jackdawcrank-proxy/tests/peers/test_peer_links.py
@@ -194,6 +194,16 @@
     assert is_unsent(await pair.a.ask("vm-x", b"one"))
 
 
+async def test_a_new_address_is_dialed_at_once(pair: typing.Any) -> None:
+    pair.a.links.set_addresses({"vm-b": ("127.0.0.1", 1), "vm-x": ("", 1)})
+    assert is_unsent(await pair.a.ask("vm-b", b"one"))
+    assert is_unsent(await pair.a.ask("vm-x", b"one"))
+    address = ("127.0.0.1", pair.b.server.port)
+    pair.a.links.set_addresses({"vm-b": address})
+    assert pair.a.links.backoffs == {}
+    assert info(await pair.a.ask("vm-b", b"two")) == "two"
+
+
 async def test_an_address_that_another_vm_took_over_gets_nothing(
     pair: typing.Any,
 ) -> None:
