--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choose_read.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/choose_read.py
@@ -16,8 +16,6 @@
 
 NEAR_TIE = 1.1
 WAIT_MARGIN_SECONDS = 0.02
-# What a read may take longer than on the primary to spare the primary.
-PRIMARY_RELIEF_SECONDS = 0.15
 PROBE_WAIT_SECONDS = 0.1
 RETRY_AFTER_TERM_MS = 500
 
@@ -157,7 +155,7 @@
         return to_primary(primary)
     if primary is None:
         return WaitForReplica(best.server, until)
-    if answer_time(best) > primary.expected + PRIMARY_RELIEF_SECONDS:
+    if answer_time(best) > primary.expected + request.primary_relief:
         return ToPrimary()
     return WaitForReplica(best.server, until)
 
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/read_request.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/routing/read_request.py
@@ -5,6 +5,8 @@
 from jackdawcrank_policy.routing.read_hold import ReadHold
 from jackdawcrank_policy.values import Branch, Position
 
+PRIMARY_RELIEF_SECONDS = 0.15
+
 
 @attrs.frozen
 class ReadRequest:
@@ -18,6 +20,8 @@
         already; None if neither states one.
       hold: What the session's last read asks, if there was one.
       may_wait: Whether the read may wait for a replica; False once it has.
+      primary_relief: The seconds that the read may take longer than on the
+        primary in order to spare it.
     """
 
     group: str
@@ -26,6 +30,7 @@
     max_age_ms: int | None = None
     hold: ReadHold | None = None
     may_wait: bool = True
+    primary_relief: float = PRIMARY_RELIEF_SECONDS
 
     def bounds(self) -> list[Position]:
         """Return the positions that an answer has to cover."""
