--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/evidence_answer.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/evidence_answer.py
@@ -15,6 +15,8 @@
       last_ok_age_seconds: How long ago the primary last answered the peer;
         None if it never did.
       suspects: Whether the peer takes the primary for unreachable.
+      health: How the primary looks to the peer, in the words of coordination.
+      coordinating: Whether the peer drives a promotion of the group.
     """
 
     request_number: int
@@ -23,3 +25,5 @@
     term: int = 0
     last_ok_age_seconds: float | None = None
     suspects: bool = False
+    health: str = ""
+    coordinating: bool = False
