--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
@@ -28,13 +28,14 @@
 from jackdawcrank_policy.configuration import Change, Configuration
 from jackdawcrank_policy.membership import MembershipView
 from jackdawcrank_policy.tokens import TokenSigner
-from jackdawcrank_policy.values import GroupRow, Vm
+from jackdawcrank_policy.values import GroupRow, Vm, VmState
 from jackdawcrank_wire.events import EventKind
 from jackdawcrank_wire.messages import ConfigVersion, Leaving
 from jackdawcrank_wire.settings import Settings
 
 TICK_SECONDS = 0.25
 METRICS_SECONDS = 10.0
+LISTING_SECONDS = 1.0
 HAND_OVER_SECONDS = 10.0
 HAND_OVER_CHECK_SECONDS = 0.1
 BOOT_ID_BYTES = 4
@@ -99,6 +100,7 @@
         )
         self.api = self._make_api()
         self.tracker: MembershipTracker | None = None
+        self.listed_live = False
         self.ready = False
         self.draining: asyncio.Task[None] | None = None
         self.stopped = asyncio.Event()
@@ -121,6 +123,7 @@
         self._view_changed(self.tracker.view)
         await self.front.start()
         self.timer.subscribe("homes", TICK_SECONDS, self.registry.tick)
+        self.timer.subscribe("listing", LISTING_SECONDS, self._check_listing)
         self.timer.subscribe("metrics", METRICS_SECONDS, self._flush_metrics)
         self.ready = True
         self.timeline.record(EventKind.VM_READY)
@@ -310,6 +313,22 @@
         if self.tracker is not None:
             self.tracker.stream_failed(vm)
 
+    async def _check_listing(self, now: float) -> None:
+        """Shut down once the platform lists this VM as leaving.
+
+        An older process of this name may have been listed so, hence the VM
+        must have been listed as live since this one started.
+        """
+        if self.tracker is None:
+            return
+        evidence = self.tracker.membership.of(self.settings.vm)
+        if evidence.vm is None:
+            return
+        if evidence.vm.state is VmState.LIVE:
+            self.listed_live = True
+        elif self.listed_live:
+            await self.drain("platform")
+
     async def _flush_metrics(self, now: float) -> None:
         connections = len(self.front.connections)
         self.metrics.gauge(metric_names.CALLER_CONNECTIONS, connections)
--- a/packages/jackdawcrank-proxy/tests/system/test_failures.py
+++ b/packages/jackdawcrank-proxy/tests/system/test_failures.py
@@ -6,9 +6,12 @@
 import time
 from typing import Any
 
+import attrs
 import pymysql
 import pytest
 
+from jackdawcrank_policy.values import VmState
+
 WAIT_SECONDS = 20.0
 POLL_SECONDS = 0.02
 LEASE_LAPSE_SECONDS = 3.5
@@ -198,3 +201,15 @@
     assert all("not_run: shutting_down" in error for error in errors)
     rows = await own_callers.run(stored)
     assert len(rows) == written
+
+
+async def test_proxy_listed_as_leaving_shuts_down(own_callers: Any) -> None:
+    system = own_callers.system
+    proxy = system.proxies["vm3"]
+    await until(lambda: proxy.listed_live)
+    listed = system.platform.vms
+    vm = attrs.evolve(proxy.tracker.own, state=VmState.LEAVING)
+    listed.put(vm, asyncio.get_running_loop().time(), at_once=True)
+    async with asyncio.timeout(WAIT_SECONDS):
+        await proxy.stopped.wait()
+    await own_callers.run(prepare)
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/declare.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/declare.py
@@ -15,6 +15,7 @@
     choices: Sequence[str] = (),
     secret: bool = False,
     not_empty: bool = False,
+    minimum_length: int = 0,
 ) -> Any:
     """Return the attrs field of a settings key.
 
@@ -26,6 +27,8 @@
       choices: The allowed strings; empty allows any.
       secret: Whether the value must not be printed.
       not_empty: Whether an empty string or list is refused.
+      minimum_length: The least characters of the string, or of each string
+        in the list.
     """
     metadata = {
         "help": help_text,
@@ -34,5 +37,6 @@
         "choices": tuple(choices),
         "secret": secret,
         "not_empty": not_empty,
+        "minimum_length": minimum_length,
     }
     return attrs.field(default=default, metadata=metadata, repr=not secret)
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/explain.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/explain.py
@@ -42,6 +42,8 @@
     text = str(rules["help"])
     if rules["choices"]:
         text += " One of: " + ", ".join(rules["choices"]) + "."
+    if rules["minimum_length"]:
+        text += f" At least {rules['minimum_length']} characters."
     if rules["minimum"] is not None and rules["maximum"] is not None:
         text += f" From {rules['minimum']} to {rules['maximum']}."
     elif rules["minimum"] is not None:
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/loader.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/loader.py
@@ -113,6 +113,10 @@
     rules = field.metadata
     if rules["not_empty"] and not value:
         raise _WrongValue("is empty")
+    strings = value if isinstance(value, tuple) else (value,)
+    shortest = rules["minimum_length"]
+    if shortest and any(len(text) < shortest for text in strings):
+        raise _WrongValue(f"is shorter than {shortest} characters")
     if rules["choices"] and value not in rules["choices"]:
         allowed = ", ".join(rules["choices"])
         raise _WrongValue(f"is {value!r}, not one of {allowed}")
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/settings.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/settings.py
@@ -8,6 +8,7 @@
 from jackdawcrank_wire.settings.declare import key
 
 MAX_PORT = 65535
+MIN_SECRET_LENGTH = 16
 
 
 @attrs.frozen(kw_only=True)
@@ -47,15 +48,22 @@
         not_empty=True,
     )
     peer_secret: str = key(
-        "Secret shared by all proxies.", secret=True, not_empty=True
+        "Secret shared by all proxies.",
+        secret=True,
+        not_empty=True,
+        minimum_length=MIN_SECRET_LENGTH,
     )
     token_keys: tuple[str, ...] = key(
         "Keys for signing session tokens, newest first; all of them verify.",
         secret=True,
         not_empty=True,
+        minimum_length=MIN_SECRET_LENGTH,
     )
     operator_tokens: tuple[str, ...] = key(
-        "Bearer tokens that operators may use.", secret=True, not_empty=True
+        "Bearer tokens that operators may use; `NAME:SECRET` names the holder.",
+        secret=True,
+        not_empty=True,
+        minimum_length=MIN_SECRET_LENGTH,
     )
     callers: tuple[CallerLogin, ...] = key(
         "Logins of callers, each with user and password.",
--- a/packages/jackdawcrank-wire/tests/settings/test_loader.py
+++ b/packages/jackdawcrank-wire/tests/settings/test_loader.py
@@ -20,9 +20,9 @@
         "vm": "vm1",
         "host": "127.0.0.1",
         "platform_url": "http://127.0.0.1:1",
-        "peer_secret": "s",
-        "token_keys": ["k"],
-        "operator_tokens": ["t"],
+        "peer_secret": "s" * 16,
+        "token_keys": ["k" * 16],
+        "operator_tokens": ["t" * 16],
         "callers": [{"user": "app", "password": "p"}],
         "backend_user": "b",
     }
@@ -42,9 +42,9 @@
 
 
 def test_secrets_are_not_printed(document: dict[str, Any]) -> None:
-    document["peer_secret"] = "hidden-value"
+    document["peer_secret"] = "hidden-value-of-the-secret"
     settings = parse_settings(json.dumps(document), "s.json")
-    assert "hidden-value" not in repr(settings)
+    assert "hidden-value-of-the-secret" not in repr(settings)
 
 
 @pytest.mark.parametrize(
@@ -57,6 +57,8 @@
         ("log_format", "xml", "log_format: is 'xml', not one of text, json"),
         ("token_keys", [], "token_keys: is empty"),
         ("token_keys", "k", "token_keys: is not a list"),
+        ("token_keys", ["k"], "token_keys: is shorter than 16 characters"),
+        ("peer_secret", "s", "peer_secret: is shorter than 16 characters"),
         ("callers", [{"user": "a"}], "callers: has an entry without just"),
         ("callers_port", 1, "callers_port: unknown key"),
         ("vm", "", "vm: is empty"),
