Read at once every newer version that a peer tells of

The version that opens a term follows the claim's within 20 ms, and a read within the 100 ms before made the follower pass it over until its next turn, up to 0.96 s later. Only a version that was told before is passed over now.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/config/follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/config/follower.py
@@ -40,6 +40,7 @@
       state: The configuration in force.
       store_answers: Whether the last read of the head succeeded.
       head_version: The newest version that a read of the head showed.
+      heard_version: The newest version that a peer has told of.
       floor: The oldest change in the log, as of that read.
       changed: Wakes those who wait for a newer version.
       slow: Whether the last read of the head took long.
@@ -89,6 +90,7 @@
         self.reading = asyncio.Lock()
         self.peers_asked_at = float("-inf")
         self.read_at = float("-inf")
+        self.heard_version = 0
         self.slow = False
         self.closed = False
 
@@ -127,9 +129,13 @@
 
     async def peer_is_at(self, version: int) -> None:
         """Take in that a peer has a version; read at once if it is newer."""
+        if version <= self.version:
+            return
         lately = self.timer.now() - self.read_at < MIN_PAUSE_SECONDS
-        if version > self.version and not lately:
-            await self.read()
+        if lately and version <= self.heard_version:
+            return
+        self.heard_version = max(self.heard_version, version)
+        await self.read()
 
     async def read(self) -> None:
         """Read the head and apply what changed, or else ask peers."""
--- a/packages/jackdawcrank-proxy/tests/config/test_follower.py
+++ b/packages/jackdawcrank-proxy/tests/config/test_follower.py
@@ -118,6 +118,21 @@
     assert follower.version == 1
 
 
+async def test_versions_that_follow_closely_are_each_read_once(
+    follower: ConfigurationFollower, client: StoreClient, append: Append
+) -> None:
+    await follower.read()
+    for version in (1, 2):
+        await append("a", version)
+        await follower.peer_is_at(version)
+        assert follower.version == version
+    before = client.traffic.reads
+    await follower.peer_is_at(2)
+    await follower.peer_is_at(9)
+    await follower.peer_is_at(9)
+    assert client.traffic.reads == before + 1
+
+
 async def test_store_state_is_told_when_it_changes(
     follower: ConfigurationFollower, platform: Platform, timer: ManualTimer
 ) -> None:
