Share slots over homes and weigh hedged reads

Cause: homes need their part of the slots, and hedged reads were undecided.

Change: home_slots shares the slots of the serving servers.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/admission/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/admission/__init__.py
@@ -10,6 +10,7 @@
 from jackdawcrank_policy.admission.concurrency_limit import concurrency_limit
 from jackdawcrank_policy.admission.fair_queue import FairQueue
 from jackdawcrank_policy.admission.group_admission import GroupAdmission
+from jackdawcrank_policy.admission.home_slots import home_slots
 
 __all__ = [
     "AdmissionRequest",
@@ -20,4 +21,5 @@
     "Queued",
     "Refused",
     "concurrency_limit",
+    "home_slots",
 ]
