Open a term only behind a majority of fences, or by force

Cause: promises of all writers could stand in for fences, but a home that is no writer may still acknowledge by confirmations; and with two views of the servers that differ by one, the smaller fence count of even groups let a confirming set escape. Change: the fence quorum is a majority and only an operator's force opens a term below it. The test enumerates all pairs of sets for up to seven servers and for views that differ by one; with the former count it fails for 2 and 4 servers.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/acknowledgement/quorum.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/acknowledgement/quorum.py
@@ -7,10 +7,11 @@
 class Quorum:
     """The sizes of the confirming and the fenced sets of a group.
 
-    Both are taken from the same servers and together outnumber them, so a
-    fenced set always shares a server with every confirming set: a write that
-    was confirmed before a term closed is seen by the choice of the next
-    primary, and none can be confirmed afterwards.
+    Both are a majority of the group's servers, so a fenced set always shares
+    a server with every confirming set: a write that was confirmed before a
+    term closed is seen by the choice of the next primary, and none can be
+    confirmed afterwards. The same holds between two VMs of which one does not
+    know yet that a single server was added or removed.
 
     Attributes:
       server_count: The backend servers of the group.
@@ -26,7 +27,7 @@
     @property
     def fence_count(self) -> int:
         """Return how many servers are fenced before a term opens."""
-        return self.server_count - self.confirm_count + 1
+        return self.server_count // 2 + 1
 
     @property
     def replica_count(self) -> int:
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/row_history.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/row_history.py
@@ -22,8 +22,6 @@
       version: The change log's version of the row.
       quick_from: The time from which no VM outside the row's writers can
         hold a lease of an earlier or the present term.
-      writers_complete: Whether no VM has left the writers since the present
-        term opened.
       preparing_since: When a claim above the last open term was first seen;
         every lease of that term has ended `LEASE_CLOSING_SECONDS` later.
       departed_since: When each departed VM was first seen as such.
@@ -32,7 +30,6 @@
     row: GroupRow | None = None
     version: int = -1
     quick_from: float = 0.0
-    writers_complete: bool = False
     preparing_since: float | None = None
     departed_since: dict[str, float] = attrs.field(factory=dict)
 
@@ -60,10 +57,8 @@
             return True
         self.preparing_since = None
         if earlier is not None and in_order and _opened(earlier, row):
-            self.writers_complete = True
             self.quick_from = now
         elif not in_order or earlier is None or _shrank(earlier, row):
-            self.writers_complete = False
             self.quick_from = now + LEASE_CLOSING_SECONDS
         return True
 
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/plan.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/plan.py
@@ -45,9 +45,6 @@
         latest, where that is known from an earlier claim; else None.
       quick_from: The time from which the writers' promises suffice to close
         the leases, since a writer that was removed has run out by then.
-      writers_complete: Whether the expected row is known to name every VM
-        that was a writer since its term opened.
-      confirm_writes: Whether the group requires confirmations always.
     """
 
     group: str
@@ -61,23 +58,12 @@
     highest_term: int = 0
     leases_out_at: float | None = None
     quick_from: float = 0.0
-    writers_complete: bool = False
-    confirm_writes: bool = False
 
     @property
     def quorum(self) -> Quorum:
         """Return the quorum of the group's servers."""
         return Quorum(len(self.servers))
 
-    @property
-    def may_open_below_quorum(self) -> bool:
-        """Return whether the writers' promises can stand for fences."""
-        return (
-            self.expected is not None
-            and self.writers_complete
-            and not self.confirm_writes
-        )
-
     @property
     def old_writers(self) -> tuple[str, ...]:
         """Return the VMs that may hold leases of earlier terms."""
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/promotion.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/promotion.py
@@ -90,7 +90,7 @@
       given_up: Writers that promised to act no more for earlier terms.
       leases_closed: Whether every lease of an earlier term has ended.
       grace_over: Whether servers that are slow to be fenced are left out.
-      alone_allowed: Whether the writers' promises may stand for fences now.
+      waited_long: Whether the servers had as long as leases take to end.
       final_position: The old primary's last entry, in a switch-over.
       claimed_at: When the claim was known to stand, in seconds.
       announce_tries: How often the new primary was told in vain.
@@ -106,7 +106,7 @@
     given_up: set[str] = attrs.field(factory=set)
     leases_closed: bool = False
     grace_over: bool = False
-    alone_allowed: bool = False
+    waited_long: bool = False
     final_position: Position | None = None
     claimed_at: float = 0.0
     announce_tries: int = 0
@@ -261,7 +261,7 @@
         match event.timer:
             case Timer.LEASES:
                 self.leases_closed = True
-                self.alone_allowed = True
+                self.waited_long = True
                 return self.open_if_ready(now)
             case Timer.GRACE:
                 self.grace_over = True
@@ -357,15 +357,12 @@
         """Return whether enough servers are fenced to open the term."""
         if len(self.fenced) >= self.plan.quorum.fence_count:
             return True
-        if not self.fenced or not self.alone_allowed:
-            return False
-        if self.plan.cause is PromotionCause.FORCED:
-            return True
-        return self.plan.may_open_below_quorum and self.all_gave_up()
+        forced = self.plan.cause is PromotionCause.FORCED
+        return forced and bool(self.fenced) and self.waited_long
 
     def has_waited(self) -> bool:
         """Return whether the servers not fenced have had their chance."""
-        if self.grace_over or self.alone_allowed:
+        if self.grace_over or self.waited_long:
             return True
         if self.plan.cause is PromotionCause.SWITCH_OVER:
             return self.plan.target in self.fenced
--- a/packages/jackdawcrank-policy/tests/acknowledgement/test_quorum.py
+++ b/packages/jackdawcrank-policy/tests/acknowledgement/test_quorum.py
@@ -8,13 +8,19 @@
 
 
 @pytest.mark.parametrize("server_count", range(1, 8))
+@pytest.mark.parametrize("change", [-1, 0, 1])
 def test_every_fenced_set_meets_every_confirming_set(
-    server_count: int,
+    server_count: int, change: int
 ) -> None:
+    known_to_writer = server_count + change
     quorum = Quorum(server_count)
-    servers = range(server_count)
-    for fenced in itertools.combinations(servers, quorum.fence_count):
-        for confirming in itertools.combinations(servers, quorum.confirm_count):
+    confirm_count = Quorum(known_to_writer).confirm_count
+    for fenced in itertools.combinations(
+        range(server_count), quorum.fence_count
+    ):
+        for confirming in itertools.combinations(
+            range(known_to_writer), confirm_count
+        ):
             assert set(fenced) & set(confirming)
 
 
--- a/packages/jackdawcrank-policy/tests/coordination/test_coordination.py
+++ b/packages/jackdawcrank-policy/tests/coordination/test_coordination.py
@@ -91,14 +91,13 @@
     assert history.quick_from == 10.0 + LEASE_CLOSING_SECONDS
     opened = attrs.evolve(ROW, term=3)
     history.observe(opened, 2, 20.0, in_order=True)
-    assert (history.quick_from, history.writers_complete) == (20.0, True)
+    assert history.quick_from == 20.0
     grown = attrs.evolve(opened, writers=HOMES)
     history.observe(grown, 3, 30.0, in_order=True)
-    assert (history.quick_from, history.writers_complete) == (20.0, True)
+    assert history.quick_from == 20.0
     shrunk = attrs.evolve(opened, writers=("vm1",))
     history.observe(shrunk, 4, 40.0, in_order=True)
     assert history.quick_from == 40.0 + LEASE_CLOSING_SECONDS
-    assert not history.writers_complete
 
 
 def test_a_term_that_this_vm_opened_has_no_other_writers() -> None:
@@ -108,7 +107,7 @@
     history.observe(claim, 2, 20.0, in_order=True)
     opened = attrs.evolve(claim, phase=GroupPhase.ACTIVE, writers=("vm3",))
     history.observe(opened, 3, 24.0, in_order=True)
-    assert (history.quick_from, history.writers_complete) == (24.0, True)
+    assert history.quick_from == 24.0
 
 
 def test_a_departed_vm_s_seat_is_freed_after_its_connections() -> None:
@@ -127,7 +126,6 @@
     history.observe(ROW, 1, 10.0, in_order=True)
     history.observe(attrs.evolve(ROW, term=4), 9, 50.0, in_order=False)
     assert history.quick_from == 50.0 + LEASE_CLOSING_SECONDS
-    assert not history.writers_complete
 
 
 def test_leases_end_counted_from_the_first_claim_seen() -> None:
--- a/packages/jackdawcrank-policy/tests/promotion/conftest.py
+++ b/packages/jackdawcrank-policy/tests/promotion/conftest.py
@@ -222,7 +222,6 @@
             servers=SERVERS,
             writers=(self.vm,),
             target=self.target,
-            confirm_writes=self.group.confirm_writes,
         )
         self.promotion = Promotion(plan)
         self.actions.extend(self.promotion.start(self.group.now))
--- a/packages/jackdawcrank-policy/tests/promotion/test_promotion.py
+++ b/packages/jackdawcrank-policy/tests/promotion/test_promotion.py
@@ -111,10 +111,16 @@
     assert [term.term for term in group.history.terms] == [1, 2]
 
 
+@pytest.mark.parametrize("writer_answers", [False, True])
+@pytest.mark.parametrize("confirm_writes", [False, True])
 def test_one_reachable_server_of_three_needs_force(
-    make_group: Callable[..., Any], coordinate: Callable[..., Any]
+    make_group: Callable[..., Any],
+    coordinate: Callable[..., Any],
+    confirm_writes: bool,
+    writer_answers: bool,
 ) -> None:
-    group = make_group(confirm_writes=True)
+    group = make_group(confirm_writes)
+    group.writer_answers = writer_answers
     group.cut_off = frozenset({"s1", "s2"})
     refused = coordinate("vm-new", group)
     refused.run()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/primary_watch.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/primary_watch.py
@@ -26,7 +26,6 @@
 RECHECK_SECONDS = 0.02
 RETRY_SECONDS = 0.25
 BLOCKED_RETRY_SECONDS = 1.0
-ALONE_AFTER_SECONDS = 5.0
 
 
 class PrimaryWatch:
@@ -173,10 +172,7 @@
         reached = self.probes.reports().keys() - {row.primary}
         if len(reached) >= Quorum(len(self.context.servers)).fence_count:
             return ""
-        silent = self.probes.detector.silent_seconds(now)
-        if silent < ALONE_AFTER_SECONDS or self.context.spec.confirm_writes:
-            return "too few servers can be fenced"
-        return ""
+        return "too few servers can be fenced"
 
     def evidence(self, health: PrimaryHealth) -> PrimaryEvidence:
         """Return what this VM has seen of the primary."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_driver.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_driver.py
@@ -101,8 +101,6 @@
             highest_term=max((one.term for one in reports), default=0),
             leases_out_at=history.leases_out_at(),
             quick_from=history.quick_from,
-            writers_complete=history.writers_complete,
-            confirm_writes=context.spec.confirm_writes,
         )
 
     def tell_step(self, step: Action | Event) -> None:
