Read head and row together before a change

One round trip less for each change; the transaction checks both. The tracker no longer tells a VM that the list says it leaves: the process looks at the same evidence and knows an older process's entry.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/membership/tracker.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/membership/tracker.py
@@ -2,7 +2,7 @@
 
 import random
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from jackdawcrank.membership import intervals
 from jackdawcrank.membership.lease_row import (
@@ -18,7 +18,7 @@
     Membership,
     MembershipView,
 )
-from jackdawcrank_policy.values import Vm, VmState
+from jackdawcrank_policy.values import Vm
 
 OnView = Callable[[MembershipView], None]
 TABLE = "vms"
@@ -35,7 +35,6 @@
       page_after: Where the next page of lease rows begins.
       list_due: When the VM list is to be read again.
       page_due: When the next page of lease rows is to be read.
-      told_to_leave: Whether the list has said that this VM leaves.
     """
 
     def __init__(
@@ -46,7 +45,6 @@
         boot: str,
         on_view: OnView = lambda view: None,
         rng: random.Random | None = None,
-        on_told_to_leave: Callable[[], None] = lambda: None,
     ) -> None:
         """Make a tracker; `start` begins its work.
 
@@ -57,10 +55,7 @@
           boot: The id of this process.
           on_view: Called with each view that differs from the one before.
           rng: The source of jitter.
-          on_told_to_leave: Called once the platform's list says that this VM
-            leaves.
         """
-        self.on_told_to_leave = on_told_to_leave
         self.store = store
         self.timer = timer
         self.own = own
@@ -73,7 +68,6 @@
         self.page_after = ""
         self.list_due = float("-inf")
         self.page_due = float("-inf")
-        self.told_to_leave = False
         self.subscriptions: list[Subscription] = []
 
     async def start(self) -> None:
@@ -159,15 +153,6 @@
         self.membership.listed(vms)
         interval = intervals.list_interval_seconds(len(vms))
         self.list_due = now + self.jittered(interval)
-        self.check_own(vms)
-
-    def check_own(self, vms: Iterable[Vm]) -> None:
-        """Tell the listener once if the list says that this VM leaves."""
-        listed = (vm for vm in vms if vm.name == self.own.name)
-        if any(vm.state is VmState.LEAVING for vm in listed):
-            if not self.told_to_leave:
-                self.on_told_to_leave()
-            self.told_to_leave = True
 
     async def read_page(self, now: float) -> None:
         """Read the next page of lease rows, round and round."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/change_log.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/change_log.py
@@ -207,10 +207,11 @@
         self, write: Write, expected: Expectation, deadline: float
     ) -> AppendOutcome | None:
         """Append a write at the present head; None if the head moved on."""
-        head = await read_head(self.store)
+        head, row = await asyncio.gather(
+            read_head(self.store), self.store.get(write.table, write.key)
+        )
         if isinstance(head, StoreUnavailable):
             return head
-        row = await self.store.get(write.table, write.key)
         if isinstance(row, StoreUnavailable):
             return row
         present = row if isinstance(row, Row) else None
