Take callers answers as evidence on servers

Answers and losses of statements now reach the detector, acknowledged writes bound the age of replicas, and idle connections are pinged every 10 s instead of 2 s, with checks of one pool at the same time.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_link.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_link.py
@@ -25,10 +25,10 @@
 ERROR_TOO_MANY_CONNECTIONS = 1040
 FIRST_CLIENT_ERROR = 2000
 LAST_CLIENT_ERROR = 2999
-# Unacknowledged data ends a connection after 3 s, silence after 2 s + 3 * 1 s.
+# Unacknowledged data ends a connection after 3 s, silence after 10 s + 3 * 1 s.
 TCP_LIMITS = {
     socket.TCP_USER_TIMEOUT: 3000,
-    socket.TCP_KEEPIDLE: 2,
+    socket.TCP_KEEPIDLE: 10,
     socket.TCP_KEEPINTVL: 1,
     socket.TCP_KEEPCNT: 3,
 }
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
@@ -15,7 +15,7 @@
 RESET_TIMEOUT_SECONDS = 1.0
 PING_TIMEOUT_SECONDS = 0.5
 IDLE_CHECK_SECONDS = 1.0
-MAX_SILENCE_SECONDS = 2.0
+MAX_SILENCE_SECONDS = 10.0
 LATE_ANSWER_SECONDS = 1.0
 
 
@@ -262,7 +262,7 @@
         idle = list(self.idle)
         self.idle.clear()
         self.in_use += len(idle)
-        answers = [await self._checked(link) for link in idle]
+        answers = await asyncio.gather(*map(self._checked, idle))
         for link in idle:
             self._finish_release(link)
         if not idle or all(answers):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
@@ -36,6 +36,12 @@
 LATENCY_WEIGHT = 0.1
 
 DropListener = Callable[[str, str], None]
+AnswerListener = Callable[[str, float, float], None]
+SilenceListener = Callable[[str], None]
+
+
+def _ignore(*arguments: object) -> None:
+    """Take no notice."""
 
 
 class GroupState:
@@ -54,6 +60,8 @@
       controls: The control connections to each server.
       term_changed: Notified when the row or a lease changes.
       evidence_changed: Notified when a probe was answered.
+      on_answer: Told of each answer: server, when asked, when answered.
+      on_silence: Told of a server that gave no usable answer.
       busy_links: Connections to primaries that run a statement, with the
         term under which it was sent.
     """
@@ -90,6 +98,8 @@
         self.term_changed = Signal()
         self.evidence_changed = Signal()
         self.failover_waiters = 0
+        self.on_answer: AnswerListener = _ignore
+        self.on_silence: SilenceListener = _ignore
         self.busy_links: dict[ServerLink, int] = {}
 
     @property
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
@@ -6,9 +6,11 @@
     ErrorAnswer,
     LinkAnswer,
     LostAnswer,
+    OkAnswer,
 )
 from jackdawcrank.backend.server_link import ServerLink
 from jackdawcrank.execution.group_state import GroupState
+from jackdawcrank_policy.routing import ServerLoad
 from jackdawcrank_wire.messages import StatementRequest
 
 SETUP_TIMEOUT_SECONDS = 1.0
@@ -69,9 +71,7 @@
             self.state.busy_links.pop(link, None)
             self.state.pools[server].release(link)
             if load is not None:
-                now = self.state.clock()
-                lost = isinstance(answer, LostAnswer)
-                load.finish(now - started, lost, now)
+                self._observe(server, load, answer, started)
 
     async def acquire(
         self, server: str, setup: tuple[str, ...], deadline: float
@@ -106,7 +106,27 @@
         limit = self.state.spec.statement_timeout_ms / 1000
         return max(0.001, min(limit, deadline - self.state.clock()))
 
+    def _observe(
+        self,
+        server: str,
+        load: ServerLoad,
+        answer: LinkAnswer,
+        started: float,
+    ) -> None:
+        """Take an answer, or its loss, as evidence on the server."""
+        now = self.state.clock()
+        lost = isinstance(answer, LostAnswer)
+        load.finish(now - started, lost, now)
+        if lost:
+            self.state.on_silence(server)
+            return
+        self.state.on_answer(server, started, now)
+        if isinstance(answer, OkAnswer) and answer.position is not None:
+            evidence = self.state.table.evidence
+            evidence.observe_write(answer.position, started)
+
     def _count_failure(self, server: str) -> None:
+        self.state.on_silence(server)
         load = self.state.table.loads.get(server)
         if load is not None:
             load.start()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
@@ -217,6 +217,8 @@
             on_report=group.observe,
             rng=self.rng,
         )
+        group.state.on_answer = agent.observe_answer
+        group.state.on_silence = agent.observe_silence
         home = Home(group, agent)
         self.homes[spec.name] = home
         self._spawn(agent.start())
