Say when faults and gaps were and which servers are not at rest

A soak whose groups did not come to rest said nothing of the cause. It prints each server now; a failure of the stand-in that ends its replication is kept among its unexpected errors.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import itertools
 import random
 import statistics
 import sys
@@ -40,6 +41,7 @@
       recorder: What its callers see.
       storm: Its faults.
       watch: Notes its terms.
+      until: When the load ends, on the loop's clock.
     """
 
     mix: Mix
@@ -47,6 +49,7 @@
     recorder: Recorder
     storm: Storm
     watch: TermWatch
+    until: float = 0.0
 
 
 def options_of(mix: Mix) -> EmbeddedOptions:
@@ -95,6 +98,7 @@
     place: Deployment, seed: int, callers: int, until: float
 ) -> None:
     """Run a deployment's callers and faults until a time."""
+    place.until = until
     watching = asyncio.create_task(place.watch.run())
     groups = place.mix.groups
     sessions = [
@@ -110,17 +114,23 @@
         print(f"{place.mix.name} did not come to rest", file=sys.stderr)
 
 
-def write_gaps(place: Deployment) -> dict[str, float]:
+def write_gaps(place: Deployment) -> dict[str, dict[str, float]]:
     """Return the longest time without an acknowledged write, by group."""
     gaps = {}
     for group in place.mix.groups:
         ends = sorted(
             write.ended_at
             for write in place.recorder.writes
-            if write.group == group and write.answer is Answer.DONE
+            if write.group == group
+            and write.answer is Answer.DONE
+            and write.ended_at < place.until
         )
-        steps = [b - a for a, b in zip(ends, ends[1:], strict=False)]
-        gaps[group] = round(max(steps, default=0.0), 3)
+        steps = [(b - a, a) for a, b in itertools.pairwise(ends)]
+        longest, begin = max(steps, default=(0.0, 0.0))
+        gaps[group] = {
+            "seconds": round(longest, 3),
+            "from_second": round(begin - place.storm.began_at, 1),
+        }
     return gaps
 
 
--- a/bench/soak_parts/judge.py
+++ b/bench/soak_parts/judge.py
@@ -161,11 +161,27 @@
         "lost_and_said_so": recorder.reported_losses,
         "lost_acknowledged": len(lost(system, recorder)),
         "stale_reads": [attrs.asdict(miss) for miss in recorder.stale],
+        "not_at_rest": [
+            state(group)
+            for group in system.groups.values()
+            if not at_rest(group)
+        ],
         "same_data": all(map(same_data, system.groups.values())),
         "broken": broken(system),
     }
 
 
+def state(group: BackendGroup) -> list[str]:
+    """Return a line for each server of a group."""
+    return [
+        f"{server.name}: fence {server.replication.fence_term}, told"
+        f" {server.replication.primary} for {server.replication.term},"
+        f" log {server.replication.log.end},"
+        f" verified {server.replication.verified}, up {server.up}"
+        for server in group.servers.values()
+    ]
+
+
 def lost(system: EmbeddedSystem, recorder: Recorder) -> list[str]:
     """Return the acknowledged writes that the final primaries lack."""
     missing = []
--- a/bench/soak_parts/records.py
+++ b/bench/soak_parts/records.py
@@ -1,9 +1,12 @@
 """What a run of the soak records."""
 
 import enum
+import re
 
 import attrs
 
+NUMBER = re.compile(r"\d+")
+
 
 class Answer(enum.StrEnum):
     """What a caller learned of one statement."""
@@ -80,6 +83,6 @@
     reasons: dict[str, int] = attrs.field(factory=dict)
 
     def note_reason(self, message: str) -> None:
-        """Count an error message by its first three parts."""
-        key = ":".join(message.split(":")[:3])[:100]
+        """Count an error message by its first three parts, without numbers."""
+        key = NUMBER.sub("N", ":".join(message.split(":")[:3]))[:100]
         self.reasons[key] = self.reasons.get(key, 0) + 1
--- a/bench/soak_parts/storm.py
+++ b/bench/soak_parts/storm.py
@@ -21,12 +21,14 @@
     Attributes:
       system: The system.
       rng: Chooses targets.
-      applied: The faults that were switched, in order.
+      applied: The faults that were switched: second of the run and fault.
+      began_at: When the run began, on the loop's clock.
     """
 
     system: EmbeddedSystem
     rng: random.Random
     applied: list[str] = attrs.field(factory=list)
+    began_at: float = 0.0
 
     async def run(self, until: float) -> None:
         """Switch faults until a time on the loop's clock, then heal.
@@ -34,8 +36,8 @@
         Single faults take the first two thirds of the time, pairs the rest.
         """
         loop = asyncio.get_running_loop()
-        begin = loop.time()
-        pairs_from = begin + (until - begin) * 2 / 3
+        self.began_at = loop.time()
+        pairs_from = until - (until - self.began_at) / 3
         queue: list[str] = []
         await asyncio.sleep(REST_SECONDS)
         while loop.time() + FAULT_SECONDS + REST_SECONDS < until:
@@ -51,13 +53,13 @@
 
     async def strike(self, names: list[str]) -> None:
         """Switch some faults at once and heal them after a while."""
-        self.applied.append("+".join(names))
         await asyncio.gather(*(FAULTS[name](self) for name in names))
         await asyncio.sleep(FAULT_SECONDS)
         await self.heal()
 
     async def heal(self) -> None:
         """End all faults."""
+        self.note("heal")
         await self.system.platform.board.apply(Fault(FaultKind.HEAL))
 
     def primary(self) -> str:
@@ -72,8 +74,14 @@
         primary = self.system.primary_of(group.name)
         return self.rng.choice([n for n in group.servers if n != primary])
 
+    def note(self, what: str) -> None:
+        """Note a fault with the second of the run."""
+        second = asyncio.get_running_loop().time() - self.began_at
+        self.applied.append(f"{second:.1f} {what}")
+
     async def apply(self, fault: Fault) -> None:
         """Switch one fault."""
+        self.note(f"{fault.kind} {fault.server or ''}".strip())
         await self.system.platform.board.apply(fault)
 
 
@@ -113,6 +121,7 @@
 async def replace_proxy(storm: Storm) -> None:
     """Shut a proxy down gracefully and start another on its VM."""
     vm = storm.rng.choice(list(storm.system.proxies))
+    storm.note(f"replace_proxy {vm}")
     proxy = storm.system.proxies.pop(vm)
     await proxy.drain("signal")
     await proxy.stopped.wait()
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/replication.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/replication.py
@@ -175,6 +175,14 @@
 
     async def follow(self) -> None:
         """Apply the primary's entries as they become due."""
+        try:
+            await self.follow_on()
+        except Exception as error:
+            self.server.note_broken(error)
+            raise
+
+    async def follow_on(self) -> None:
+        """Apply due entries until cancelled."""
         while True:
             self.changed.clear()
             delay = self.pull()
