--- a/packages/jackdawcrank-policy/tests/freshness/test_position_history.py
+++ b/packages/jackdawcrank-policy/tests/freshness/test_position_history.py
@@ -7,6 +7,7 @@
 from jackdawcrank_policy.values import Position
 
 
+@hypothesis.settings(derandomize=True, deadline=None)
 @hypothesis.given(
     gaps=st.lists(st.floats(0.001, 3.0), min_size=1, max_size=400),
     share=st.floats(0.0, 1.0),
--- a/packages/jackdawcrank-policy/tests/retry/test_retry_budget.py
+++ b/packages/jackdawcrank-policy/tests/retry/test_retry_budget.py
@@ -8,6 +8,7 @@
 from jackdawcrank_policy.retry import RetryBudget, backoff_seconds
 
 
+@hypothesis.settings(derandomize=True, deadline=None)
 @hypothesis.given(steps=st.lists(st.booleans(), max_size=500))
 def test_retries_stay_a_fraction_of_attempts(steps: list[bool]) -> None:
     budget = RetryBudget(fraction=0.1)
--- a/packages/jackdawcrank-policy/tests/tokens/test_token_signer.py
+++ b/packages/jackdawcrank-policy/tests/tokens/test_token_signer.py
@@ -25,6 +25,7 @@
 ).map(lambda seen: SessionToken(tuple(seen.items())))
 
 
+@hypothesis.settings(derandomize=True, deadline=None)
 @hypothesis.given(token=TOKENS)
 def test_a_signed_token_comes_back_whole(token: SessionToken) -> None:
     signer = TokenSigner((NEW_KEY,))
@@ -33,6 +34,7 @@
     assert signer.verify(text) == token
 
 
+@hypothesis.settings(derandomize=True, deadline=None)
 @hypothesis.given(token=TOKENS, data=st.data())
 def test_a_changed_byte_is_found(
     token: SessionToken, data: st.DataObject
