--- a/bench/writes_model/model_peers.py
+++ b/bench/writes_model/model_peers.py
@@ -69,7 +69,12 @@
     async def announce_row(
         self, vm: str, row: GroupRow, version: int, timeout_seconds: float
     ) -> bool:
-        """Tell a VM of a row."""
+        """Tell a VM of a row, which it then fetches from this one."""
+        fetched = await self.network.request(
+            self.vm, vm, lambda: True, timeout_seconds
+        )
+        if not fetched:
+            return False
         agent = self.proxies[vm].agent
 
         def take() -> bool:
