--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/server.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/server.py
@@ -185,6 +185,7 @@
         cut = [*self.connections.values(), *self.silenced]
         self.silenced.clear()
         for connection in cut:
+            connection.forgotten.set()
             connection.stream.writer.transport.abort()
         for task in tasks:
             task.cancel()
--- a/packages/jackdawcrank-standins/tests/backend/test_connection.py
+++ b/packages/jackdawcrank-standins/tests/backend/test_connection.py
@@ -264,6 +264,17 @@
     await asyncio.to_thread(use_a_new_one)
 
 
+async def test_a_crash_does_not_wait_for_silent_connections(
+    primary: BackendServer,
+) -> None:
+    connection = await asyncio.to_thread(open_pymysql, primary)
+    primary.silence()
+    async with asyncio.timeout(primary.idle_seconds / 2):
+        await primary.stop()
+    assert not primary.connections
+    connection._force_close()
+
+
 async def test_a_partition_holds_packets_back(
     primary: BackendServer, group: BackendGroup
 ) -> None:
