Follow the reads policy in the shell; let groups say how long reads wait for replicas

Cause: the shell judged an answer by evidence that came after the read, waited for a replica without probing it, ignored the last read in the answer check, and gave a home its slots without what is under way on the network. Branch.keeps was wrong where a later term began below an earlier start.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/values/branch.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/values/branch.py
@@ -34,15 +34,19 @@
             return True
         if not self.starts or position.term > self.term:
             return False
-        if position.term < self.starts[0].term:
-            return position.offset <= self.starts[0].offset
-        for start, successor in zip(
-            self.starts, (*self.starts[1:], None), strict=True
-        ):
-            if start.term != position.term:
-                continue
-            return successor is None or position.offset <= successor.offset
-        return False
+        oldest = self.starts[0].term
+        if position.term >= oldest and not self.opened(position.term):
+            return False
+        later = [s.offset for s in self.starts if s.term > position.term]
+        return all(position.offset <= offset for offset in later)
+
+    def opened(self, term: int) -> bool:
+        """Return whether a term is one of those on the branch.
+
+        Args:
+          term: The term in question.
+        """
+        return any(start.term == term for start in self.starts)
 
     def extended(self, start: TermStart, limit: int = 64) -> "Branch":
         """Return the branch with a new term, keeping the newest `limit`.
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/values/group_spec.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/values/group_spec.py
@@ -19,6 +19,8 @@
       transaction_timeout_ms: The longest that one transaction may stay open.
       drain_timeout_ms: The longest that open transactions may run on a
         leaving server.
+      replica_wait_ms: How much longer than on the primary a read may take
+        in order to be served by a replica.
     """
 
     name: str
@@ -29,3 +31,4 @@
     statement_timeout_ms: int = 30_000
     transaction_timeout_ms: int = 60_000
     drain_timeout_ms: int = 30_000
+    replica_wait_ms: int = 150
--- a/packages/jackdawcrank-policy/tests/values/test_branch.py
+++ b/packages/jackdawcrank-policy/tests/values/test_branch.py
@@ -29,6 +29,12 @@
     assert branch.keeps(Position(term, offset)) is kept
 
 
+def test_entry_is_lost_if_any_later_term_began_below_it() -> None:
+    branch = Branch((TermStart(1, 0), TermStart(2, 10), TermStart(3, 9)))
+    assert not branch.keeps(Position(1, 10))
+    assert branch.keeps(Position(1, 9))
+
+
 def test_extension_refuses_an_older_term(branch: Branch) -> None:
     with pytest.raises(ValueError, match="not above"):
         branch.extended(TermStart(4, 12))
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
@@ -234,6 +234,15 @@
             pool.limit = share
             pool.warm = min(share, self.spec.slots_per_server)
 
+    def mean_round_trip(self) -> float:
+        """Return the mean network round trip to the servers in seconds."""
+        latencies = [load.latency for load in self.table.loads.values()]
+        return sum(latencies) / len(latencies) if latencies else 0.0
+
+    def connections_share(self) -> int:
+        """Return how many connections this VM may hold to the group."""
+        return sum(pool.limit for pool in self.pools.values())
+
     def has_budget(self) -> bool:
         """Return whether this VM may hold connections to the group."""
         return self.ledger.share(self.vm, self.clock()) > 0
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
@@ -14,7 +14,11 @@
 from jackdawcrank.execution.write_path import WritePath
 from jackdawcrank.front.values import single_text
 from jackdawcrank.results import result_error
-from jackdawcrank_policy.admission import GroupAdmission
+from jackdawcrank_policy.admission import (
+    GroupAdmission,
+    concurrency_limit,
+    home_slots,
+)
 from jackdawcrank_policy.budget import writer_names
 from jackdawcrank_policy.lease import LeaseTable
 from jackdawcrank_policy.requests import RequestResult
@@ -165,6 +169,7 @@
           now: The time on the monotonic clock.
         """
         self.state.apply_budget()
+        self._follow_slots()
         return self.transactions.expire(now)
 
     async def _dispatch(
@@ -218,11 +223,20 @@
         return 1 if spec is None else spec.weight
 
     def _follow_slots(self) -> None:
-        spec = self.state.spec
-        slots = spec.slots_per_server * len(self.state.serving)
-        row = self.state.row
-        homes = len(writer_names(row.writers)) if row else 1
-        self.gate.set_limit(-(-slots // max(1, homes)))
+        """Set the admission limit to this home's part of the slots."""
+        state = self.state
+        row = state.row
+        if row is None:
+            return
+        total = state.spec.slots_per_server * len(state.serving)
+        slots = home_slots(total, writer_names(row.writers), state.vm)
+        limit = concurrency_limit(
+            slots,
+            self.gate.admission.service,
+            state.mean_round_trip(),
+            state.connections_share(),
+        )
+        self.gate.set_limit(limit)
 
     def _count(self, result: StatementResult) -> None:
         if not isinstance(result, ResultError):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/read_path.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/read_path.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from jackdawcrank.backend.answer import ErrorAnswer, LostAnswer, RowsAnswer
 from jackdawcrank.execution.acknowledger import Acknowledger, ReadVerdict
 from jackdawcrank.execution.admission_gate import AdmissionGate
@@ -14,6 +16,7 @@
 from jackdawcrank.results import result_error, result_from_answer
 from jackdawcrank_policy.freshness import answer_stands
 from jackdawcrank_policy.routing import (
+    ReadHold,
     ReadRequest,
     Refuse,
     SessionReads,
@@ -38,6 +41,7 @@
 MAX_ATTEMPTS = 4
 PROBE_SECONDS = 0.5
 PRIMARY_RETRY_SECONDS = 0.02
+PROBE_PAUSE_SECONDS = 0.05
 
 
 class ReadPath:
@@ -81,9 +85,10 @@
         wanted = None
         if request.token or max_age_ms is not None:
             wanted = self._wanted(request, max_age_ms, deadline)
-            waited = await self._wait_for_replica(wanted)
+            waited = await self._wait_for_replica(request, wanted)
             if isinstance(waited, Refuse):
                 return result_error(waited.outcome)
+            wanted = waited
         ticket = await self.gate.enter(
             request.caller, request.caller_class, weight, deadline
         )
@@ -108,11 +113,14 @@
             deadline=deadline,
             token_position=token,
             max_age_ms=max_age_ms,
-            hold=self._session_reads(request).hold(
-                request.group, self.state.table.evidence
-            ),
+            hold=self._hold(request),
+            primary_relief=self.state.spec.replica_wait_ms / 1000,
         )
 
+    def _hold(self, request: StatementRequest) -> ReadHold | None:
+        evidence = self.state.table.evidence
+        return self._session_reads(request).hold(request.group, evidence)
+
     def _session_reads(self, request: StatementRequest) -> SessionReads:
         reads = SessionReads()
         if request.last_server and request.last_read_age_ms is not None:
@@ -127,24 +135,43 @@
             )
         return reads
 
-    async def _wait_for_replica(self, wanted: ReadRequest) -> Refuse | None:
-        """Wait while a replica should soon reach the token."""
-        first = True
-        until = 0.0
-        while True:
-            choice = self._choose(wanted)
-            if isinstance(choice, Refuse):
-                return choice
-            if not isinstance(choice, WaitForReplica):
-                return None
-            if first:
-                self.counters.replica_waits += 1
-                until = choice.until
-                first = False
-            remaining = until - self.state.clock()
-            if remaining <= 0:
-                return None
-            await self.state.evidence_changed.wait(remaining)
+    async def _wait_for_replica(
+        self, request: StatementRequest, wanted: ReadRequest
+    ) -> ReadRequest | Refuse:
+        """Wait once for a replica where that should pay.
+
+        Returns:
+          What the read asks for from now on, or its refusal.
+        """
+        choice = self._choose(wanted)
+        if isinstance(choice, Refuse):
+            return choice
+        if not isinstance(choice, WaitForReplica):
+            return wanted
+        self.counters.replica_waits += 1
+        if choice.probe:
+            await self._probe_both(choice.server)
+        else:
+            await self._wait_until_reached(choice, wanted)
+        return attrs.evolve(wanted, may_wait=False, hold=self._hold(request))
+
+    async def _probe_both(self, server: str) -> None:
+        names = {server, self.state.table.primary} & self.state.controls.keys()
+        await asyncio.gather(*(self._probe(name) for name in names))
+
+    async def _wait_until_reached(
+        self, choice: WaitForReplica, wanted: ReadRequest
+    ) -> None:
+        """Probe a replica until it holds what the read asks for."""
+        target = wanted.target()
+        evidence = self.state.table.evidence
+        while (remaining := choice.until - self.state.clock()) > 0:
+            if target is None or evidence.reached(
+                choice.server, target, evidence.branch
+            ):
+                return
+            await self._probe(choice.server)
+            await asyncio.sleep(min(remaining, PROBE_PAUSE_SECONDS))
 
     def _choose(
         self, wanted: ReadRequest
@@ -190,26 +217,15 @@
             return None
         if isinstance(answer, ErrorAnswer) and answer.code == READ_ONLY_CODE:
             return None
-        if self._too_old(wanted, choice, answered_at):
+        if not choice.fresh_at(answered_at, wanted.max_age_ms):
             self.counters.late_answers += 1
             return None
-        bound = wanted.token_position
+        bound = wanted.target()
         if not await self._stands(choice.server, branch, bound, answered_at):
             return None
         self.counters.replica_reads += 1
         return result_from_answer(answer, choice.server, branch.term)
 
-    def _too_old(
-        self, wanted: ReadRequest, choice: ToServer, answered_at: float
-    ) -> bool:
-        if wanted.max_age_ms is None:
-            return False
-        newer = self.state.table.evidence.complete_as_of(choice.server)
-        known = [t for t in (newer, choice.complete_as_of) if t is not None]
-        if not known:
-            return True
-        return answered_at - max(known) > wanted.max_age_ms / 1000
-
     async def _stands(
         self,
         server: str,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
@@ -424,10 +424,17 @@
                 transaction.broken = result.message or "connection lost"
 
     def _advance(self, group: str, position: Position) -> None:
+        """Hold the session to a position from now on.
+
+        A position of a term that the configuration does not know here yet is
+        taken as the first of its term.
+        """
         branch = self.router.branch(group)
-        if position.term > branch.term:
-            start = TermStart(position.term, max(0, position.offset - 1))
-            branch = Branch((*branch.starts, start))
+        seen = self.token.position(group)
+        for newer in sorted(p for p in (seen, position) if p is not None):
+            if newer.term > branch.term:
+                start = TermStart(newer.term, max(0, newer.offset - 1))
+                branch = Branch((*branch.starts, start))
         self.token = self.token.advanced(group, position, branch)
 
     def _merge_given_token(self, options: Options) -> ResultError | None:
@@ -437,6 +444,8 @@
         if isinstance(given, ForgedToken):
             return not_run("bad_option", f"session: {given.detail}", 1210)
         group = self.database or ""
+        if not self.token.has_room(group):
+            return not_run("bad_option", "the session has too many groups")
         position = given.position(group)
         if position is not None:
             self._advance(group, position)
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/database_group.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/database_group.py
@@ -57,3 +57,10 @@
         minimum=0,
         maximum=HOUR_MS,
     )
+    replica_wait_ms: int = key(
+        "How much longer than on the primary a read may take in order to be "
+        "served by a replica, in milliseconds.",
+        default=150,
+        minimum=0,
+        maximum=60_000,
+    )
