Name the primary again to a server that was fenced too late

Cause: a paused primary is fenced when it resumes, after the announcement went out; it then reports the right term and a position on the branch and was taken as following, for good. Change: a replica follows only if it has caught up or holds an entry of the term; else it is told again.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/alignment.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/coordination/alignment.py
@@ -81,6 +81,11 @@
 
 
 def _follows(row: GroupRow, report: ServerReport) -> bool:
-    """Return whether a server is a replica on the open term's branch."""
+    """Return whether a server surely follows the open term's primary.
+
+    A server that was paused may be fenced with the term after its primary was
+    named, so the fence alone does not show that it follows.
+    """
     in_term = report.term == row.term and report.role is ServerRole.REPLICA
-    return in_term and row.branch.keeps(report.position)
+    pulls = report.caught_up or report.position.term == row.term
+    return in_term and pulls and row.branch.keeps(report.position)
--- a/packages/jackdawcrank-policy/tests/coordination/test_coordination.py
+++ b/packages/jackdawcrank-policy/tests/coordination/test_coordination.py
@@ -79,6 +79,18 @@
     assert (alignment(ROW, answer) is not None) is told
 
 
+def test_a_server_fenced_after_the_announcement_is_told_again() -> None:
+    missed = report("a", 3, ServerRole.REPLICA, Position(2, 5))
+    row = attrs.evolve(
+        ROW,
+        primary="b",
+        term=3,
+        branch=Branch((TermStart(2, 0), TermStart(3, 5))),
+    )
+    assert alignment(row, missed) is not None
+    assert alignment(row, attrs.evolve(missed, caught_up=True)) is None
+
+
 def test_the_divergent_tail_is_counted() -> None:
     assert divergent_tail(Position(1, 130), BRANCH) == 30
     assert divergent_tail(Position(1, 100), BRANCH) == 0
