Pass every declared key of a resource to the policy

replicaWaitMs could be declared, but its value never reached the reads' policy, which kept the default of 150 ms: the conversion named each key by hand. It takes all keys now, and a test sets each of them.

--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/convert.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/resources/convert.py
@@ -2,6 +2,8 @@
 
 import functools
 
+import attrs
+
 from jackdawcrank_policy import values
 from jackdawcrank_wire.resources.backend_server import BackendServerSpec
 from jackdawcrank_wire.resources.caller_class import CallerClassSpec
@@ -24,40 +26,18 @@
 @policy_value.register
 def group_value(spec: DatabaseGroupSpec, name: str) -> values.GroupSpec:
     """Return the policy's value of a database group."""
-    return values.GroupSpec(
-        name=name,
-        slots_per_server=spec.slots_per_server,
-        connection_limit=spec.connection_limit,
-        default_max_age_ms=spec.default_max_age_ms,
-        confirm_writes=spec.confirm_writes,
-        statement_timeout_ms=spec.statement_timeout_ms,
-        transaction_timeout_ms=spec.transaction_timeout_ms,
-        drain_timeout_ms=spec.drain_timeout_ms,
-    )
+    return values.GroupSpec(name=name, **attrs.asdict(spec))
 
 
 @policy_value.register
 def server_value(spec: BackendServerSpec, name: str) -> values.ServerSpec:
     """Return the policy's value of a backend server."""
-    return values.ServerSpec(
-        name=name,
-        group=spec.group,
-        host=spec.host,
-        port=spec.port,
-        region=spec.region,
-        data_center=spec.data_center,
-        state=values.ServerState(spec.state),
-    )
+    keys = attrs.asdict(spec)
+    state = values.ServerState(keys.pop("state"))
+    return values.ServerSpec(name=name, state=state, **keys)
 
 
 @policy_value.register
 def class_value(spec: CallerClassSpec, name: str) -> values.CallerClassSpec:
     """Return the policy's value of a class of callers."""
-    return values.CallerClassSpec(
-        name=name,
-        users=spec.users,
-        weight=spec.weight,
-        max_concurrent=spec.max_concurrent,
-        rate_per_second=spec.rate_per_second,
-        burst=spec.burst,
-    )
+    return values.CallerClassSpec(name=name, **attrs.asdict(spec))
--- a/packages/jackdawcrank-wire/tests/resources/test_parse.py
+++ b/packages/jackdawcrank-wire/tests/resources/test_parse.py
@@ -2,10 +2,12 @@
 
 from typing import Any
 
+import attrs
 import pytest
 
 from jackdawcrank_policy.values import GroupSpec, ServerSpec, ServerState
 from jackdawcrank_wire.resources import (
+    DatabaseGroupSpec,
     Invalid,
     Resource,
     parse_resource,
@@ -123,6 +125,18 @@
     )
 
 
+def test_every_declared_key_reaches_the_policy() -> None:
+    spec = DatabaseGroupSpec(
+        **{
+            field.name: True if field.type is bool else 77
+            for field in attrs.fields(DatabaseGroupSpec)
+        }
+    )
+    value = attrs.asdict(policy_value(spec, "x"))
+    assert value.pop("name") == "x"
+    assert value == attrs.asdict(spec)
+
+
 def test_a_row_of_a_newer_release_is_read_as_far_as_known() -> None:
     row = {"spec": {"slotsPerServer": 4, "colour": "red"}}
     value = stored_value("DatabaseGroup", "x", row)
