Keep the homes of all groups while VMs come and go

HomeIndex keeps the best VMs of each data centre for each group. A VM that comes is ranked once a group; one that goes is replaced only in the groups that it was among the best of. The registry reconciles the groups whose homes changed and its own; a change of a caller class touches its own only.

--- a/bench/slopes_parts/capacity.py
+++ b/bench/slopes_parts/capacity.py
@@ -55,6 +55,7 @@
 
 CPU_RATE = "processor time, s/s"
 CPU_EACH = "processor time, s"
+ONE_VM = "homes of 1,100 groups after one VM, s"
 
 
 @attrs.frozen
@@ -113,7 +114,8 @@
         """
         line = self.slopes["membership", "VM listed", quantity]
         cost = line.base + line.slope * size
-        step = quantity.split(",")[0]
+        step = quantity.rpartition(",")[0].removesuffix(", processor time")
+        step = step.removesuffix(", store traffic")
         self.put(resource, "membership", f"{step}, per s", cost, 1 / seconds)
 
     def put(
@@ -229,8 +231,7 @@
     full.add_step(CPU, f"evaluation, {cpu}", intervals.EVALUATE_SECONDS)
     full.add_step(CPU, f"VM list, {cpu}", LIST_SECONDS)
     full.add_step(TRAFFIC, f"VM list, {traffic}", LIST_SECONDS)
-    hashing = "choice of one group's homes, s"
-    full.add_step(CPU, hashing, 1 / (GROUPS * VIEW_RATE))
+    full.add_step(CPU, ONE_VM, 1 / VIEW_RATE)
 
 
 def add_recording(full: Extrapolation) -> None:
--- a/bench/slopes_parts/events.py
+++ b/bench/slopes_parts/events.py
@@ -6,6 +6,7 @@
     GROUPS,
     HOMES_PER_GROUP,
     LOST_PER_DAY,
+    ONE_VM,
     PEERS,
     RESTARTS_PER_DAY,
     ROW_CHANGES,
@@ -24,6 +25,8 @@
 LOST_PRIMARIES = GROUPS / DATA_CENTERS
 VIEW_CHANGES_PER_DAY = 3 * (RESTARTS_PER_DAY + LOST_PER_DAY)
 CPU_EACH = "processor time, s"
+FIRST_HOMES = "first homes of 1,100 groups, s"
+NO_CENTER = "homes of 1,100 groups without a data centre, s"
 LOST = "data centre gone"
 DAILY = "6 VMs lost and 150 restarted a day"
 
@@ -47,19 +50,26 @@
     Args:
       events: Takes the lines.
     """
-    hashing = events.slopes[
-        "membership", "VM listed", "choice of one group's homes, s"
-    ]
-    per_group = hashing.base + hashing.slope * VMS
-    held = per_group * GROUPS
+    held = at_full_size(events, ONE_VM)
     event = "one VM comes or goes: the loop of every VM is held, s"
-    events.put(event, "home choice", "group", per_group, GROUPS)
+    events.put(event, "home choice", "view", held, 1)
     event = f"{DAILY}: processor time of each VM, s a day"
     events.put(event, "home choice", "view", held, VIEW_CHANGES_PER_DAY)
     event = f"{DAILY}: changes of group rows a day"
     events.put(event, "coordinator", "change", 1.0, ROW_CHANGES)
 
 
+def at_full_size(events: Extrapolation, quantity: str) -> float:
+    """Return a cost that is a line over the VMs, with all VMs.
+
+    Args:
+      events: Holds the slopes.
+      quantity: The cost.
+    """
+    line = events.slopes["membership", "VM listed", quantity]
+    return line.base + line.slope * VMS
+
+
 def add_start(events: Extrapolation) -> None:
     """Add what a new VM loads.
 
@@ -71,6 +81,9 @@
     events.add(event, role, unit, "snapshot, bytes", GROUPS)
     event = "a VM starts: reading the snapshot, s"
     events.add(event, role, unit, "loading a snapshot, s", GROUPS)
+    event = "a VM starts: the loop is held for the homes of all groups, s"
+    held = at_full_size(events, FIRST_HOMES)
+    events.put(event, "home choice", "view", held, 1)
 
 
 def add_lost_data_center(events: Extrapolation) -> None:
@@ -79,6 +92,9 @@
     Args:
       events: Takes the lines.
     """
+    event = f"{LOST}: the loop of every VM is held, s"
+    held = at_full_size(events, NO_CENTER)
+    events.put(event, "home choice", "view", held, 1)
     seats, primaries = LOST_SEATS, LOST_PRIMARIES
     event = f"{LOST}: changes of group rows"
     events.put(event, "home proxy", "home seat", 1.0, seats)
--- a/bench/slopes_parts/membership.py
+++ b/bench/slopes_parts/membership.py
@@ -7,7 +7,7 @@
 from jackdawcrank.membership import MembershipTracker
 from jackdawcrank.store import StoreClient
 from jackdawcrank.timer import ManualTimer
-from jackdawcrank_policy.homes import home_vms
+from jackdawcrank_policy.homes import HomeIndex
 from jackdawcrank_policy.membership import MembershipView
 from jackdawcrank_policy.values import Vm
 from slopes_parts.fit import Slope, fit_line
@@ -16,7 +16,9 @@
 
 VMS = [50.0, 200.0, 400.0, 700.0]
 CALLS = 5
-HASHED_GROUPS = 20
+GROUPS = 1100
+HOMES_PER_GROUP = 3
+VIEWS = 20
 ROLE = "membership"
 UNIT = "VM listed"
 
@@ -78,19 +80,36 @@
         traffic = after.on(port) - before.on(port)
         row[f"{name}, processor time, s"] = (after.cpu - before.cpu) / CALLS
         row[f"{name}, store traffic, bytes"] = traffic.bytes / CALLS
-    row["choice of one group's homes, s"] = hash_cost(tracker.view)
+    row.update(choice_costs(tracker.view))
     await store.close()
     return row
 
 
-def hash_cost(view: MembershipView) -> float:
-    """Return the processor time of choosing the homes of one group.
+def choice_costs(view: MembershipView) -> dict[str, float]:
+    """Return the processor time of keeping the homes of all groups.
 
     Args:
       view: The membership.
     """
-    centers = {name: vm.data_center for name, vm in view.vms.items()}
+    members = {name: view.vms[name].data_center for name in view.live}
+    index = HomeIndex(HOMES_PER_GROUP)
+    for number in range(GROUPS):
+        index.homes(f"group{number:04}")
     started = time.process_time()
-    for number in range(HASHED_GROUPS):
-        home_vms(f"group{number:04}", view.live, 3, centers)
-    return (time.process_time() - started) / HASHED_GROUPS
+    index.update(members)
+    first = time.process_time() - started
+    started = time.process_time()
+    for vm in view.live[:VIEWS]:
+        index.update({name: members[name] for name in view.live if name != vm})
+        index.update(members)
+    one = (time.process_time() - started) / (2 * VIEWS)
+    lost = next(iter(members.values()))
+    left = {name: where for name, where in members.items() if where != lost}
+    started = time.process_time()
+    index.update(left)
+    center = time.process_time() - started
+    return {
+        "homes of 1,100 groups after one VM, s": one,
+        "homes of 1,100 groups without a data centre, s": center,
+        "first homes of 1,100 groups, s": first,
+    }
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/home_vms.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/home_vms.py
@@ -33,7 +33,12 @@
 
 def rank(group: str, vm: str) -> int:
     """Return the weight of a VM for a group."""
-    return xxhash.xxh3_64_intdigest(f"{group}\0{vm}".encode())
+    return weight(f"{group}\0{vm}".encode())
+
+
+def weight(key: bytes) -> int:
+    """Return the weight of a group's and a VM's names, joined by a zero."""
+    return xxhash.xxh3_64_intdigest(key)
 
 
 def spread(ranked: list[str], data_centers: Mapping[str, str]) -> list[str]:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
@@ -11,7 +11,7 @@
 from jackdawcrank.timer import Timer
 from jackdawcrank_policy.budget import writer_names
 from jackdawcrank_policy.configuration import Change, Configuration, Kind
-from jackdawcrank_policy.homes import home_vms
+from jackdawcrank_policy.homes import HomeIndex
 from jackdawcrank_policy.lease import LeaseTable
 from jackdawcrank_policy.membership import MembershipView
 from jackdawcrank_policy.values import (
@@ -34,6 +34,7 @@
       homes: The homes by group, retiring ones included.
       configuration: The configuration in force.
       view: The membership as this VM sees it.
+      index: The homes that are chosen for each group.
       leases: The term leases of this VM.
     """
 
@@ -51,7 +52,7 @@
         on_row: Callable[[GroupRow, int], None],
     ) -> None:
         self.vm = vm
-        self.homes_per_group = homes_per_group
+        self.index = HomeIndex(homes_per_group)
         self.user = user
         self.password = password
         self.store = store
@@ -111,7 +112,10 @@
           view: The membership as this VM sees it.
         """
         self.view = view
-        for group in self.configuration.groups:
+        changed = self.index.update(
+            {vm: self._data_center(vm) for vm in view.live}
+        )
+        for group in {*changed, *self.homes}:
             self._reconcile(group)
 
     def head_read(self, sent_at: float, version: int) -> None:
@@ -159,17 +163,21 @@
             return {*earlier.groups, *configuration.groups, *self.homes}
         affected: set[str] = set()
         for change in changes:
-            affected |= _groups_of(change, earlier, configuration)
+            if change.kind == Kind.CALLER_CLASS:
+                affected |= set(self.homes)
+            else:
+                affected |= _groups_of(change, earlier, configuration)
         return affected
 
     def _reconcile(self, name: str) -> None:
         spec = self.configuration.groups.get(name)
         home = self.homes.get(name)
         if spec is None:
+            self.index.forget(name)
             if home is not None:
                 self._retire(name, home)
             return
-        chosen = self._chosen_homes(name)
+        chosen = self.index.homes(name)
         row = self.configuration.group_rows.get(name)
         writers = writer_names(row.writers) if row else ()
         if self.vm not in chosen and self.vm not in writers:
@@ -185,9 +193,9 @@
         row = (self.first_rows or {}).get(group)
         return row is not None and self.vm in row.writers
 
-    def _chosen_homes(self, group: str) -> tuple[str, ...]:
-        centers = {n: vm.data_center for n, vm in self.view.vms.items()}
-        return home_vms(group, self.view.live, self.homes_per_group, centers)
+    def _data_center(self, name: str) -> str:
+        vm = self.view.vms.get(name)
+        return vm.data_center if vm else ""
 
     def _open(self, spec: GroupSpec, chosen: tuple[str, ...]) -> Home:
         servers = self.configuration.servers_of(spec.name)
@@ -311,8 +319,6 @@
     """Return the groups that a change concerns."""
     if change.kind in (Kind.DATABASE_GROUP, Kind.GROUP_ROW):
         return {change.name}
-    if change.kind == Kind.CALLER_CLASS:
-        return set(configuration.groups)
     servers = (
         earlier.servers.get(change.name),
         configuration.servers.get(change.name),
