--- a/packages/jackdawcrank-proxy/tests/groups/conftest.py
+++ b/packages/jackdawcrank-proxy/tests/groups/conftest.py
@@ -20,9 +20,11 @@
     StoreUnavailable,
 )
 from jackdawcrank.timer import TimerService
+from jackdawcrank_policy.acknowledgement import Quorum, acknowledge
 from jackdawcrank_policy.detection import PrimaryEvidence
 from jackdawcrank_policy.lease import LeaseTable
 from jackdawcrank_policy.values import (
+    Done,
     GroupPhase,
     GroupRow,
     GroupSpec,
@@ -41,19 +43,18 @@
 
 @attrs.define(eq=False)
 class FakeServer:
-    """One server as one home sees it; `cut` pairs do not reach each other."""
+    """One server as one home sees it."""
 
     vm: str
     model: ModelServer
-    cut: set[tuple[str, str]]
-    refusing: set[str]
+    world: "World"
     name: str = ""
 
     async def ask(self, act: Callable[[], Any], timeout_seconds: float) -> Any:
         await asyncio.sleep(LATENCY_SECONDS)
-        if self.name in self.refusing:
+        if self.name in self.world.refusing:
             return Unreachable("connection refused")
-        if (self.vm, self.name) in self.cut:
+        if not self.world.reaches(self.vm, self.name):
             await asyncio.sleep(timeout_seconds)
             return Unreachable("no answer in time")
         answer = act()
@@ -97,6 +98,7 @@
     version: int = 0
     down: bool = False
     openings: list[GroupRow] = attrs.field(factory=list)
+    opened_at: list[float] = attrs.field(factory=list)
     claims: list[tuple[int, asyncio.Event]] = attrs.field(factory=list)
 
     async def claim(
@@ -114,6 +116,7 @@
                 claimed.set()
         if new.phase is GroupPhase.ACTIVE:
             self.openings.append(new)
+            self.opened_at.append(asyncio.get_running_loop().time())
         return Stored(self.version)
 
     async def read(self, group: str) -> GroupRow | None | StoreUnavailable:
@@ -122,10 +125,15 @@
 
 @attrs.define(eq=False)
 class World:
-    """The homes' agents and what they share."""
+    """The homes' agents and what they share.
+
+    Homes do not reach servers over links that are `cut`, and no place reaches
+    one on another of the `sides`; the store is on side 0.
+    """
 
     store: FakeStore = attrs.field(factory=FakeStore)
     cut: set[tuple[str, str]] = attrs.field(factory=set)
+    sides: dict[str, int] = attrs.field(factory=dict)
     refusing: set[str] = attrs.field(factory=set)
     stopped: set[str] = attrs.field(factory=set)
     events: list[tuple[str, str, dict[str, object]]] = attrs.field(factory=list)
@@ -149,8 +157,11 @@
 
     async def follow(self, vm: str, now: float) -> None:
         """Read the row as the change log's follower does."""
+        if self.sides.get(vm):
+            return
         if self.store.row is not None and not self.store.down:
             self.agents[vm].row_changed(self.store.row, self.store.version)
+            self.leases[vm].renew(now, self.store.version)
 
     def add_home(self, vm: str, spec: GroupSpec) -> None:
         self.timers[vm] = TimerService()
@@ -159,10 +170,10 @@
             vm,
             spec,
             {
-                name: FakeServer(vm, model, self.cut, self.refusing, name)
+                name: FakeServer(vm, model, self, name)
                 for name, model in self.servers.items()
             },
-            self.store,
+            FakeStoreLink(self, vm),
             FakePeers(self, vm),
             self.leases[vm],
             lambda kind, **detail: self.events.append((vm, kind, detail)),
@@ -189,6 +200,44 @@
         self.store.claims.append((term, claimed))
         await claimed.wait()
 
+    def reaches(self, source: str, target: str) -> bool:
+        if target in self.refusing or (source, target) in self.cut:
+            return False
+        return self.sides.get(source, 0) == self.sides.get(target, 0)
+
+    def replicate(self, name: str) -> None:
+        """Let a replica pull from the primary that it knows."""
+        server = self.servers[name]
+        leader = self.servers.get(server.primary)
+        if leader is not None and self.reaches(name, leader.name):
+            server.pull(leader)
+
+    def write(self, vm: str, write_id: str) -> int | None:
+        """Write through a home; return the term that acknowledged it."""
+        row = self.leases[vm].rows.get(GROUP)
+        if row is None or not self.reaches(vm, row.primary):
+            return None
+        position = self.servers[row.primary].commit(write_id)
+        if position is None or position.term != row.term:
+            return None
+        replicas = [
+            name
+            for name in SERVERS
+            if name != row.primary and self.reaches(vm, name)
+        ]
+        for name in replicas[:1]:
+            self.replicate(name)
+        verdict = acknowledge(
+            position,
+            row.term,
+            self.leases[vm].state(GROUP, row.term, self.timers[vm].now()),
+            Quorum(len(SERVERS)),
+            self.agents[vm].context.spec.confirm_writes,
+            tuple(replicas),
+            {name: self.servers[name].confirm(position) for name in replicas},
+        )
+        return row.term if isinstance(verdict, Done) else None
+
     def told(self, kind: str) -> list[dict[str, object]]:
         return [detail for _, one, detail in self.events if one == kind]
 
@@ -207,7 +256,8 @@
 
     async def find(self, vm: str, timeout_seconds: float) -> GroupAgent | None:
         await asyncio.sleep(LATENCY_SECONDS)
-        if {vm, self.vm} & self.world.stopped:
+        stopped = {vm, self.vm} & self.world.stopped
+        if stopped or not self.world.reaches(self.vm, vm):
             await asyncio.sleep(timeout_seconds)
             return None
         return self.world.agents[vm]
@@ -233,6 +283,26 @@
         return agent is not None
 
 
+@attrs.define(eq=False)
+class FakeStoreLink:
+    """The store as one home reaches it."""
+
+    world: World
+    vm: str
+
+    async def claim(
+        self, expected: GroupRow | None, new: GroupRow
+    ) -> Stored | Conflict | StoreUnavailable:
+        if self.world.sides.get(self.vm):
+            return StoreUnavailable("no answer in time")
+        return await self.world.store.claim(expected, new)
+
+    async def read(self, group: str) -> GroupRow | None | StoreUnavailable:
+        if self.world.sides.get(self.vm):
+            return StoreUnavailable("no answer in time")
+        return await self.world.store.read(group)
+
+
 Scenario = Callable[[World], Coroutine[Any, Any, None]]
 
 
