--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
@@ -46,7 +46,7 @@
 
 ROLLED_BACK_CODE = 1213
 ROLLED_BACK_STATE = "40001"
-END_SESSION_DEADLINE_MS = 5000
+CONFIGURATION_RETRY_MS = 1000
 _GLOBAL_VARIABLES = GlobalVariables()
 
 Handler = Callable[
@@ -461,6 +461,11 @@
         return None
 
     def _unknown_group(self, name: str) -> ResultError:
+        if not self.router.is_configured():
+            detail = "this proxy has not read its configuration yet"
+            return result_error(
+                NotRun(NotRunReason.NO_SERVER, detail, CONFIGURATION_RETRY_MS)
+            )
         detail = f"no database group {name[:64]!r} is declared"
         return result_error(NotRun(NotRunReason.UNKNOWN_GROUP, detail))
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/statement_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/statement_router.py
@@ -13,6 +13,9 @@
     async def execute(self, request: StatementRequest) -> StatementResult:
         """Run a statement on one of its group's home proxies."""
 
+    def is_configured(self) -> bool:
+        """Return whether any configuration has been read yet."""
+
     def knows_group(self, group: str) -> bool:
         """Return whether a group is declared."""
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/entry_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/entry_router.py
@@ -97,6 +97,10 @@
         self._measure(request, result, started)
         return result
 
+    def is_configured(self) -> bool:
+        """Return whether any configuration has been read yet."""
+        return self.registry.configuration.version > 0
+
     def knows_group(self, group: str) -> bool:
         """Return whether a group is declared.
 
