Tell eight peers of a version and watch peers with transactions

A new version goes to eight peers at random, each of which tells eight; leaving still goes to all. A peer is watched while this VM holds transactions of its sessions or has transactions there. The stub of the caller front follows its protocol, without which bench/slopes.py failed.

--- a/bench/slopes_parts/caller_front.py
+++ b/bench/slopes_parts/caller_front.py
@@ -41,6 +41,10 @@
         """Return the same row for each statement."""
         return RESULT
 
+    def is_configured(self) -> bool:
+        """Have a configuration."""
+        return True
+
     def knows_group(self, group: str) -> bool:
         """Know every group."""
         return True
--- a/bench/slopes_parts/capacity.py
+++ b/bench/slopes_parts/capacity.py
@@ -5,6 +5,7 @@
 from jackdawcrank.config.follower import HEAD_READ_SECONDS
 from jackdawcrank.membership import intervals
 from jackdawcrank.metrics import FLUSH_INTERVAL_SECONDS
+from jackdawcrank.process.proxy import PEERS_TOLD_OF_VERSION
 from report import Check
 from slopes_parts.fit import Slope
 
@@ -201,14 +202,14 @@
 
 
 def add_notices(full: Extrapolation) -> None:
-    """Add the notices of a new version, which every VM sends to every peer.
+    """Add the notices of a new version, which every VM sends to some peers.
 
     Args:
       full: Takes the lines.
     """
     unit = "open stream, per notice to all"
-    # Each VM sends one notice to a peer and gets one from it.
-    size = 2 * PEERS * CHANGE_RATE
+    # Each VM sends as many notices as it gets.
+    size = 2 * PEERS_TOLD_OF_VERSION * CHANGE_RATE
     for resource, quantity in (
         (CPU, "notice, processor time, s"),
         (TRAFFIC, "notice, traffic, bytes"),
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
@@ -138,6 +138,19 @@
         for home in self.homes.values():
             home.group.transactions.end_sessions_of(f"{vm}:")
 
+    def holds_sessions_of(self, vm: str) -> bool:
+        """Return whether sessions of an entry proxy have transactions here.
+
+        Args:
+          vm: The VM.
+        """
+        prefix = f"{vm}:"
+        return any(
+            transaction.session_id.startswith(prefix)
+            for home in self.homes.values()
+            for transaction in home.group.transactions.open.values()
+        )
+
     async def tick(self, now: float) -> None:
         """Do what time asks for.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
@@ -39,6 +39,8 @@
 HAND_OVER_SECONDS = 10.0
 HAND_OVER_CHECK_SECONDS = 0.1
 BOOT_ID_BYTES = 4
+# Each of them tells as many again.
+PEERS_TOLD_OF_VERSION = 8
 
 
 class Proxy:
@@ -84,6 +86,7 @@
         self.registry = self._make_registry()
         self.classes = CallerClasses(time.monotonic)
         self.router = self._make_router()
+        self.links.is_watched = self._is_watched
         self.follower = self._make_follower()
         self.collector = ChangeLogCollector(
             self.store, self.follower.state, self.timer, self.rng
@@ -217,6 +220,7 @@
             self.timer,
             on_change=self._configuration_changed,
             on_head_read=self.registry.head_read,
+            on_store=self._store_changed,
             interval_seconds=self.settings.head_read_seconds,
             rng=self.rng,
         )
@@ -243,7 +247,7 @@
             self.timeline,
             self.registry,
             self.router,
-            lambda: self.ready,
+            self._is_ready,
             self.drain,
         )
         return OperatorApi(
@@ -279,15 +283,26 @@
         service.register(self.handlers)
         self.follower.learn_from_peers = service.learn_from_peers
 
+    def _is_ready(self) -> bool:
+        """Return whether callers should be sent to this VM."""
+        known = self.follower.version > 0 or self.follower.store_answers
+        return self.ready and known
+
+    def _store_changed(self, answers: bool) -> None:
+        kind = EventKind.STORE_RECOVERED if answers else EventKind.STORE_OUTAGE
+        self.timeline.record(kind)
+
     def _configuration_changed(
         self, configuration: Configuration, changes: tuple[Change, ...]
     ) -> None:
         self.classes.set_specs(configuration.caller_classes)
         self.registry.configuration_changed(configuration, changes)
         self.links.config_version = configuration.version
-        self.links.broadcast(ConfigVersion(configuration.version))
+        self.links.broadcast(
+            ConfigVersion(configuration.version), PEERS_TOLD_OF_VERSION
+        )
         self.timeline.record(
-            EventKind.CONFIG_APPLIED, version=configuration.version
+            EventKind.CONFIG_APPLIED, config_version=configuration.version
         )
 
     def _view_changed(self, view: MembershipView) -> None:
@@ -313,6 +328,12 @@
         if self.tracker is not None:
             self.tracker.stream_failed(vm)
 
+    def _is_watched(self, vm: str) -> bool:
+        """Return whether a transaction ties this VM and a peer together."""
+        if self.registry.holds_sessions_of(vm):
+            return True
+        return vm in self.router.pinned.values()
+
     async def _check_listing(self, now: float) -> None:
         """Shut down once the platform lists this VM as leaving.
 
--- /dev/null
+++ b/packages/jackdawcrank-proxy/tests/process/test_home_registry.py
@@ -0,0 +1,133 @@
+"""Tests of the groups that a VM is a home of."""
+
+import random
+from collections.abc import AsyncIterator
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from jackdawcrank.process.home_registry import HomeRegistry
+from jackdawcrank.timeline import Timeline
+from jackdawcrank.timer import ManualTimer
+from jackdawcrank_policy.configuration import Change, Configuration, Kind
+from jackdawcrank_policy.homes import home_vms
+from jackdawcrank_policy.membership import MembershipView
+from jackdawcrank_policy.values import CallerClassSpec, GroupSpec, Vm
+
+GROUPS = tuple(f"group{number}" for number in range(30))
+CENTERS = {f"vm{number}": f"dc{number % 3}" for number in range(9)}
+
+
+def view_of(names: list[str]) -> MembershipView:
+    vms = {
+        name: Vm(name, "127.0.0.1", 1, 2, "r", CENTERS[name]) for name in names
+    }
+    return MembershipView(tuple(names), (), vms)
+
+
+@pytest.fixture
+async def registry() -> AsyncIterator[HomeRegistry]:
+    registry = HomeRegistry(
+        "vm0",
+        3,
+        "proxy",
+        "proxy",
+        cast(Any, None),
+        cast(Any, None),
+        ManualTimer(),
+        Timeline("vm0", "b1", 100, clock=lambda: 0.0),
+        random.Random(1),
+        lambda row, version: None,
+    )
+    yield registry
+    await registry.close()
+
+
+@pytest.fixture
+def asked(
+    registry: HomeRegistry, monkeypatch: pytest.MonkeyPatch
+) -> dict[str, int]:
+    """How often each group's homes were looked at."""
+    counts: dict[str, int] = {}
+    look_up = registry.index.homes
+
+    def homes(group: str) -> tuple[str, ...]:
+        counts[group] = counts.get(group, 0) + 1
+        return look_up(group)
+
+    monkeypatch.setattr(registry.index, "homes", homes)
+    return counts
+
+
+def declare(registry: HomeRegistry) -> Configuration:
+    groups = {name: GroupSpec(name) for name in GROUPS}
+    configuration = Configuration(1, groups)
+    registry.configuration_changed(configuration, ())
+    return configuration
+
+
+def serving(registry: HomeRegistry) -> set[str]:
+    return {n for n, home in registry.homes.items() if not home.retiring}
+
+
+async def test_homes_follow_the_membership(registry: HomeRegistry) -> None:
+    declare(registry)
+    rng = random.Random(7)
+    for _ in range(12):
+        names = rng.sample(sorted(CENTERS), rng.randint(0, len(CENTERS)))
+        registry.view_changed(view_of(names))
+        assert serving(registry) == {
+            group
+            for group in GROUPS
+            if "vm0" in home_vms(group, names, 3, CENTERS)
+        }
+        for group in serving(registry):
+            context = registry.homes[group].agent.context
+            assert context.homes == home_vms(group, names, 3, CENTERS)
+            assert context.live == frozenset(names)
+
+
+async def test_a_view_touches_only_groups_whose_homes_changed(
+    registry: HomeRegistry, asked: dict[str, int]
+) -> None:
+    declare(registry)
+    names = sorted(CENTERS)
+    registry.view_changed(view_of(names))
+    asked.clear()
+    registry.view_changed(view_of(names[:-1]))
+    lost = {
+        group for group in GROUPS if "vm8" in home_vms(group, names, 3, CENTERS)
+    }
+    assert set(asked) == lost | set(registry.homes)
+    assert set(asked) < set(GROUPS)
+
+
+async def test_a_caller_class_touches_only_own_homes(
+    registry: HomeRegistry, asked: dict[str, int]
+) -> None:
+    earlier = declare(registry)
+    registry.view_changed(view_of(sorted(CENTERS)))
+    asked.clear()
+    spec = CallerClassSpec("batch")
+    change = Change(2, Kind.CALLER_CLASS, "batch", value=spec)
+    registry.configuration_changed(earlier.with_change(change), (change,))
+    assert set(asked) == set(registry.homes)
+    assert 0 < len(asked) < len(GROUPS)
+    classes = [home.group.classes for home in registry.homes.values()]
+    assert classes == [{"batch": spec}] * len(asked)
+
+
+async def test_open_transactions_tie_an_entry_proxy(
+    registry: HomeRegistry,
+) -> None:
+    declare(registry)
+    registry.view_changed(view_of(["vm0"]))
+    transactions = registry.homes["group3"].group.transactions
+    assert not registry.holds_sessions_of("vm1")
+    session: Any = SimpleNamespace(session_id="vm1:5f3a:7")
+    transactions.open["t1"] = session
+    assert registry.holds_sessions_of("vm1")
+    assert not registry.holds_sessions_of("vm")
+    assert not registry.holds_sessions_of("vm10")
+    transactions.open.clear()
--- /dev/null
+++ b/packages/jackdawcrank-proxy/tests/process/test_proxy.py
@@ -0,0 +1,65 @@
+"""Tests of the parts of one process together."""
+
+import random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from jackdawcrank.process import Proxy
+from jackdawcrank.process.proxy import PEERS_TOLD_OF_VERSION
+from jackdawcrank_policy.configuration import Configuration
+from jackdawcrank_wire.messages import ConfigVersion
+from jackdawcrank_wire.settings import Settings
+
+
+class Stream:
+    """An open stream that keeps what is posted."""
+
+    usable = True
+
+    def __init__(self) -> None:
+        self.posted: list[Any] = []
+
+    def post(self, message: Any) -> None:
+        self.posted.append(message)
+
+
+@pytest.fixture
+async def proxy() -> Proxy:
+    settings = Settings(
+        vm="vm0",
+        host="127.0.0.1",
+        platform_url="http://127.0.0.1:9",
+        peer_secret="0123456789abcdef0123456789abcdef",
+        token_keys=("0123456789abcdef0123456789abcdef",),
+        operator_tokens=("operator:0123456789abcdef0123456789abcdef",),
+        callers=(),
+        backend_user="proxy",
+    )
+    return Proxy(settings, random.Random(1))
+
+
+async def test_a_new_version_is_told_to_a_few_peers(proxy: Proxy) -> None:
+    streams: dict[str, Any] = {f"vm{n}": Stream() for n in range(1, 50)}
+    proxy.links.streams.update(streams)
+    proxy._configuration_changed(Configuration(4), ())
+    told = [one.posted for one in streams.values() if one.posted]
+    assert told == [[ConfigVersion(4)]] * PEERS_TOLD_OF_VERSION
+
+
+async def test_peers_are_watched_while_transactions_tie_them(
+    proxy: Proxy, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    watched = proxy.links.watched
+    assert not watched("vm1")
+    proxy.router.pinned["t1"] = "vm1"
+    assert watched("vm1")
+    proxy.router.pinned.clear()
+    held: Any = SimpleNamespace(session_id="vm2:5f3a:7")
+    home: Any = SimpleNamespace(
+        group=SimpleNamespace(transactions=SimpleNamespace(open={"t1": held}))
+    )
+    monkeypatch.setitem(proxy.registry.homes, "ledger", home)
+    assert watched("vm2")
+    assert not watched("vm1")
