Ask less often about a primary in lasting doubt

A home that alone had lost its primary asked the others and read the store ahead about twice a second for as long as it lasted. Rounds now back off to 2 s and the store is read ahead at most every 5 s; the test fails without the limit.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/primary_watch.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/primary_watch.py
@@ -1,5 +1,7 @@
 """Replaces a primary that the homes of its group hold to have failed."""
 
+import math
+
 from jackdawcrank.groups.group_context import GroupContext
 from jackdawcrank.groups.group_probes import GroupProbes
 from jackdawcrank.groups.group_store import PreparingStore
@@ -26,6 +28,8 @@
 EVIDENCE_SECONDS = 0.8
 RECHECK_SECONDS = 0.02
 RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 2.0
+PREPARE_INTERVAL_SECONDS = 5.0
 BLOCKED_RETRY_SECONDS = 1.0
 
 
@@ -42,6 +46,7 @@
       backoff: Spaces unplanned promotions.
       suspicious: Whether a suspicion was raised and not cleared.
       considering: Whether a round of questions is under way.
+      prepared_at: When the store last read ahead, in seconds.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         self.backoff = PromotionBackoff()
         self.suspicious = False
         self.considering = False
+        self.prepared_at = -math.inf
 
     def take_row(self, earlier: GroupRow | None, row: GroupRow) -> None:
         """Count the promotions of which this VM learns.
@@ -89,9 +95,11 @@
 
     async def consider(self, row: GroupRow) -> None:
         """Judge a silent primary until it answers or is replaced."""
+        pause = RETRY_SECONDS
         try:
             while await self.consider_once(row):
-                await self.context.pause(RETRY_SECONDS)
+                await self.context.pause(pause)
+                pause = min(2 * pause, MAX_RETRY_SECONDS)
         finally:
             self.considering = False
 
@@ -124,7 +132,11 @@
 
     async def prepare_claim(self) -> None:
         """Have the store read ahead while the other homes are asked."""
+        now = self.context.timer.now()
+        if now < self.prepared_at + PREPARE_INTERVAL_SECONDS:
+            return
         if isinstance(self.context.store, PreparingStore):
+            self.prepared_at = now
             await self.context.store.prepare(self.context.spec.name)
 
     async def ask(self) -> Judgement:
--- a/packages/jackdawcrank-proxy/tests/groups/conftest.py
+++ b/packages/jackdawcrank-proxy/tests/groups/conftest.py
@@ -97,6 +97,7 @@
     row: GroupRow | None = None
     version: int = 0
     down: bool = False
+    prepared: int = 0
     openings: list[GroupRow] = attrs.field(factory=list)
     opened_at: list[float] = attrs.field(factory=list)
     claims: list[tuple[int, asyncio.Event]] = attrs.field(factory=list)
@@ -297,6 +298,9 @@
             return StoreUnavailable("no answer in time")
         return await self.world.store.claim(expected, new)
 
+    async def prepare(self, group: str) -> None:
+        self.world.store.prepared += 1
+
     async def read(self, group: str) -> GroupRow | None | StoreUnavailable:
         if self.world.sides.get(self.vm):
             return StoreUnavailable("no answer in time")
--- a/packages/jackdawcrank-proxy/tests/groups/test_group_agent.py
+++ b/packages/jackdawcrank-proxy/tests/groups/test_group_agent.py
@@ -60,6 +60,15 @@
     assert "uncertain" in str(world.told("promotion_abandoned"))
 
 
+def test_a_lasting_doubt_asks_the_store_rarely(play: Play) -> None:
+    async def scenario(world: Any) -> None:
+        world.cut_off(world.row.primary, "vm1")
+        await asyncio.sleep(60.0)
+
+    world = play(scenario)
+    assert 1 <= world.store.prepared <= 60 / 5 + 1
+
+
 def test_a_primary_lost_to_most_homes_is_replaced(play: Play) -> None:
     async def scenario(world: Any) -> None:
         world.cut_off(world.row.primary, "vm1", "vm2")
