--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/operator_service.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/operator_service.py
@@ -80,10 +80,6 @@
         """Return the process's state as JSON values."""
         view = self.registry.view
         return {
-            "vm": self.vm,
-            "ready": self.is_ready(),
-            "config_version": self.follower.version,
-            "store_answers": self.follower.store_answers,
             "live": list(view.live),
             "leaving": list(view.leaving),
             "homes": {
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/peer_service.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/peer_service.py
@@ -113,7 +113,7 @@
 
     async def hello(self, vm: str, message: Hello) -> None:
         """Take in a peer's start of a stream."""
-        self.tracker.heard(vm)
+        self.tracker.heard(vm, boot=message.boot)
         await self.follower.peer_is_at(message.config_version)
 
     async def leaving(self, vm: str, message: Leaving) -> None:
