--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/actions.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/actions.py
@@ -74,10 +74,20 @@
 @click.command()
 @click.argument("group")
 @click.option("--to", "server", help="The new primary; absent: the best.")
+@click.option(
+    "--force",
+    is_flag=True,
+    help="Also with too few servers in reach. You vouch that those out of "
+    "reach are stopped; writes that only they hold are lost.",
+)
 @click.pass_obj
-def promote(config: CliConfig, group: str, server: str | None) -> None:
+def promote(
+    config: CliConfig, group: str, server: str | None, force: bool
+) -> None:
     """Make another server of GROUP its primary."""
-    body = {"server": server} if server else {}
+    body: dict[str, object] = {"server": server} if server else {}
+    if force:
+        body["force"] = True
     path = f"/v1/groups/{group}/promote"
     answer = run(config, lambda client: client.call("POST", path, body))
     if config.output == "json":
--- a/packages/jackdawcrank-cli/tests/conftest.py
+++ b/packages/jackdawcrank-cli/tests/conftest.py
@@ -68,7 +68,7 @@
         return {}
 
     async def promote(
-        self, group: str, server: str | None, actor: str
+        self, group: str, server: str | None, actor: str, force: bool = False
     ) -> ActionOutcome:
         if self.promoting:
             return ActionRefused("a promotion of this group is under way")
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/commands/demo.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/commands/demo.py
@@ -13,6 +13,8 @@
 GROUP = "depot"
 LAG_SECONDS = 0.3
 CATCH_UP_SECONDS = 1.0
+# Homes that have just begun wait out leases that others may hold.
+SETTLE_SECONDS = 4.0
 WRITE_PAUSE_SECONDS = 0.02
 GAP_LIMIT_SECONDS = 20.0
 EXIT_OK = 0
@@ -102,6 +104,7 @@
 
     async def replace_primary(self, token: str) -> None:
         """Cut the primary off and measure the gap for writes."""
+        await asyncio.sleep(SETTLE_SECONDS)
         primary = self.system.primary_of(GROUP)
         self.system.groups[GROUP].partition(primary)
         cut_at = time.monotonic()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/acknowledger.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/acknowledger.py
@@ -68,7 +68,9 @@
             if self.state.clock() >= deadline:
                 return Unknown("no confirmation came before the deadline")
             if isinstance(verdict, NeedConfirmation):
-                replies |= await self._confirm(verdict, position, deadline)
+                replies |= await self._confirm(
+                    verdict, position, term, deadline
+                )
                 continue
             settled = await self._settle(verdict, position, deadline)
             if not isinstance(settled, int):
@@ -114,15 +116,43 @@
         return Failed(LOST_WRITE_CODE, LOST_WRITE_STATE, detail)
 
     async def _confirm(
-        self, need: NeedConfirmation, position: Position, deadline: float
+        self,
+        need: NeedConfirmation,
+        position: Position,
+        term: int,
+        deadline: float,
     ) -> dict[str, int | None]:
         remaining = max(0.01, deadline - self.state.clock())
         timeout = min(CONFIRM_SECONDS, remaining)
-        controls = [self.state.controls[name] for name in need.servers]
-        terms = await asyncio.gather(
-            *(control.confirm(position, timeout) for control in controls)
-        )
-        return dict(zip(need.servers, terms, strict=True))
+        asked = {
+            asyncio.create_task(
+                self.state.controls[name].confirm(position, timeout)
+            ): name
+            for name in need.servers
+        }
+        replies = await self._enough(asked, term, need.count)
+        # Those that are not needed any more must not hold the caller.
+        return dict.fromkeys(need.servers) | replies
+
+    async def _enough(
+        self,
+        asked: "dict[asyncio.Task[int | None], str]",
+        term: int,
+        count: int,
+    ) -> dict[str, int | None]:
+        """Return the replies up to the last that is needed."""
+        replies: dict[str, int | None] = {}
+        waiting = set(asked)
+        try:
+            while waiting and _confirmed(replies, term) < count:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                replies |= {asked[task]: task.result() for task in done}
+        finally:
+            for task in waiting:
+                task.cancel()
+        return replies
 
     async def _probe_terms(
         self, servers: tuple[str, ...]
@@ -135,3 +165,7 @@
             name: report.term if isinstance(report, ServerReport) else None
             for name, report in zip(servers, reports, strict=True)
         }
+
+
+def _confirmed(replies: dict[str, int | None], term: int) -> int:
+    return sum(1 for reply in replies.values() if reply == term)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
@@ -8,6 +8,7 @@
 from jackdawcrank.execution.counters import GroupCounters
 from jackdawcrank.execution.group_state import DropListener, GroupState
 from jackdawcrank.execution.read_path import ReadPath
+from jackdawcrank.execution.record_expiry import RecordExpiry
 from jackdawcrank.execution.request_records import RequestRecords
 from jackdawcrank.execution.statement_runner import StatementRunner
 from jackdawcrank.execution.transactions import Transactions
@@ -85,6 +86,7 @@
         runner = StatementRunner(self.state)
         acknowledger = Acknowledger(self.state)
         self.records = RequestRecords(self.state, runner, acknowledger)
+        self.expiry = RecordExpiry(self.state, runner)
         self.reads = ReadPath(
             self.state, self.gate, runner, acknowledger, self.counters
         )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/action_handlers.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/action_handlers.py
@@ -46,14 +46,19 @@
         body = await json_body(request)
         if isinstance(body, web.Response):
             return body
-        server = body.get("server") if isinstance(body, dict) else body
+        document = body if isinstance(body, dict) else {"server": body}
+        server = document.get("server")
+        force = document.get("force", False)
+        if not isinstance(force, bool):
+            message = "force must be true or false"
+            return error_answer(BAD_REQUEST, "malformed", message)
         if server is not None and not isinstance(server, str):
             message = "server must be the name of a BackendServer"
             return error_answer(BAD_REQUEST, "malformed", message)
         if server is not None and not self.is_member(server, name):
             hint = f"jackdawcrankctl describe DatabaseGroup {name}"
             return missing_answer(f"server {server} in group {name}", hint)
-        return await promote(self.ports, request, name, server)
+        return await promote(self.ports, request, name, server, force)
 
     def is_member(self, server: str, group: str) -> bool:
         """Return whether a server belongs to a group."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/ports.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/ports.py
@@ -78,7 +78,7 @@
         """Return what this VM knows of a resource; empty if nothing."""
 
     async def promote(
-        self, group: str, server: str | None, actor: str
+        self, group: str, server: str | None, actor: str, force: bool = False
     ) -> ActionOutcome:
         """Begin a promotion.
 
@@ -86,6 +86,7 @@
           group: The database group.
           server: The new primary; None leaves the choice to the system.
           actor: Who asked.
+          force: Whether to do so with too few servers in reach.
         """
 
     async def drain_self(self, actor: str) -> ActionOutcome:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/promotions.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/promotions.py
@@ -20,6 +20,7 @@
     request: web.Request,
     group: str,
     server: str | None,
+    force: bool = False,
 ) -> web.Response:
     """Begin a promotion here or, if this VM is no home, at one.
 
@@ -28,13 +29,17 @@
       request: The operator's request.
       group: The database group.
       server: The new primary; None leaves the choice to the system.
+      force: Whether to do so with too few servers in reach.
     """
     homes = homes_of(ports, group)
     if not homes or ports.vm in homes or FORWARDED in request.headers:
-        outcome = await ports.promote(group, server, request[ACTOR])
+        actor = request[ACTOR]
+        outcome = await ports.promote(group, server, actor, force)
         return action_answer(outcome)
     path = f"/v1/groups/{group}/promote"
-    body = {} if server is None else {"server": server}
+    body: dict[str, object] = {"force": force}
+    if server is not None:
+        body["server"] = server
     answer = missing_answer(f"home of group {group} in reach")
     for vm in homes.values():
         answer = await forward(request, vm, path, body)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
@@ -158,6 +158,8 @@
           now: The time on the monotonic clock.
         """
         for name, home in self.homes.items():
+            if home.group.expiry.is_due(now) and home.agent.context.is_acting:
+                self._spawn(home.group.expiry.run())
             for transaction_id in home.group.tick(now):
                 self.timeline.record(
                     EventKind.TRANSACTION_ROLLED_BACK,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/operator_service.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/operator_service.py
@@ -18,6 +18,7 @@
 from jackdawcrank.process.home_registry import HomeRegistry
 from jackdawcrank.store import ChangeLog, StoreClient
 from jackdawcrank.timeline import Timeline
+from jackdawcrank_policy.budget import writer_names
 from jackdawcrank_policy.membership import MembershipView
 from jackdawcrank_policy.values import ServerReport
 from jackdawcrank_wire.events import EventKind
@@ -102,7 +103,7 @@
         return {}
 
     async def promote(
-        self, group: str, server: str | None, actor: str
+        self, group: str, server: str | None, actor: str, force: bool = False
     ) -> ActionOutcome:
         """Move a group's primary.
 
@@ -110,6 +111,7 @@
           group: The database group.
           server: The new primary; None leaves the choice to the system.
           actor: Who asked.
+          force: Whether to do so with too few servers in reach.
         """
         home = self.registry.active(group)
         if home is None:
@@ -119,8 +121,11 @@
             group=group,
             server=server or "",
             actor=actor,
+            force=force,
         )
-        outcome = await home.agent.switch_over(server)
+        agent = home.agent
+        move = agent.force_promote if force else agent.switch_over
+        outcome = await move(server)
         if isinstance(outcome, Moved):
             row = outcome.row
             return ActionDone({"primary": row.primary, "term": row.term})
@@ -164,7 +169,7 @@
         if group not in self.registry.configuration.groups:
             return NoSuchTarget(f"no database group {group!r} is declared")
         row = self.registry.configuration.group_rows.get(group)
-        homes = ", ".join(row.writers) if row else "none yet"
+        homes = ", ".join(writer_names(row.writers)) if row else "none yet"
         return ActionRefused(
             f"{self.vm} is no home of {group}; ask one of: {homes}"
         )
@@ -191,7 +196,7 @@
             "phase": row.phase.value,
             "primary": row.primary,
             "coordinator": row.coordinator,
-            "homes": list(row.writers),
+            "homes": list(writer_names(row.writers)),
         }
         home = self.registry.homes.get(name)
         if home is not None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
@@ -10,6 +10,7 @@
 
 from jackdawcrank.config import ChangeLogCollector, ConfigurationFollower
 from jackdawcrank.front.front_server import FrontServer
+from jackdawcrank.groups.quick_group_rows import QuickGroupRows
 from jackdawcrank.membership import MembershipTracker
 from jackdawcrank.metrics import Metrics
 from jackdawcrank.metrics import names as metric_names
@@ -194,7 +195,7 @@
             settings.homes_per_group,
             settings.backend_user,
             settings.backend_password,
-            GroupRows(self.store, self.change_log, settings.vm),
+            QuickGroupRows(GroupRows(self.store, self.change_log, settings.vm)),
             StreamGroupPeers(self.links),
             self.timer,
             self.timeline,
--- a/packages/jackdawcrank-proxy/tests/operators/conftest.py
+++ b/packages/jackdawcrank-proxy/tests/operators/conftest.py
@@ -52,7 +52,7 @@
         return {}
 
     async def promote(
-        self, group: str, server: str | None, actor: str
+        self, group: str, server: str | None, actor: str, force: bool = False
     ) -> ActionOutcome:
         if self.promoted:
             return ActionRefused("a promotion is under way", 500)
--- a/packages/jackdawcrank-proxy/tests/system/test_failures.py
+++ b/packages/jackdawcrank-proxy/tests/system/test_failures.py
@@ -213,3 +213,27 @@
     async with asyncio.timeout(WAIT_SECONDS):
         await proxy.stopped.wait()
     await own_callers.run(prepare)
+
+
+async def test_dead_replica_does_not_hold_confirmed_writes(
+    own_callers: Any,
+) -> None:
+    await own_callers.run(prepare)
+    system = own_callers.system
+    proxy = system.proxies["vm1"]
+    spec = proxy.follower.configuration.groups["depot"]
+    for one in system.proxies.values():
+        for home in one.registry.homes.values():
+            home.group.set_spec(attrs.evolve(spec, confirm_writes=True))
+    group = system.groups["depot"]
+    replica = next(n for n in group.servers if n != system.primary_of("depot"))
+    group.partition(replica, from_servers=False)
+    done, _ = await own_callers.run(lambda c: book(c, "vm1", 5))
+    assert len(done) == 5
+    confirmations = [
+        control.confirm_links
+        for home in proxy.registry.homes.values()
+        for name, control in home.group.state.controls.items()
+        if name not in (replica, system.primary_of("depot"))
+    ]
+    assert any(confirmations)
