--- a/packages/jackdawcrank-proxy/tests/system/test_failures.py
+++ b/packages/jackdawcrank-proxy/tests/system/test_failures.py
@@ -237,3 +237,33 @@
         if name not in (replica, system.primary_of("depot"))
     ]
     assert any(confirmations)
+
+
+async def test_lost_write_is_told_and_never_read_around(
+    own_callers: Any,
+) -> None:
+    def write(callers: Any) -> Any:
+        connection = callers.pymysql("vm1")
+        cursor = connection.cursor()
+        cursor.execute("CREATE TABLE claims (id INT)")
+        time.sleep(0.6)
+        group = callers.system.groups["depot"]
+        primary = callers.system.primary_of("depot")
+        group.partition(primary, from_proxies=False)
+        cursor.execute("INSERT INTO claims VALUES (1)")
+        cursor.execute("SELECT @@session_token")
+        return cursor.fetchone()[0]
+
+    token = await own_callers.run(write)
+    system = own_callers.system
+    old = system.primary_of("depot")
+    system.groups["depot"].partition(old)
+    await until(lambda: system.primary_of("depot") != old)
+
+    def read(callers: Any) -> Any:
+        cursor = callers.pymysql("vm2").cursor()
+        with pytest.raises(pymysql.MySQLError) as caught:
+            cursor.execute(f"SELECT * FROM claims /*session='{token}'*/")
+        return caught.value.args[1]
+
+    assert (await own_callers.run(read)).startswith("not_run: write_lost")
--- a/packages/jackdawcrank-proxy/tests/system/test_sessions.py
+++ b/packages/jackdawcrank-proxy/tests/system/test_sessions.py
@@ -3,6 +3,7 @@
 import time
 from typing import Any
 
+import mysql.connector
 import pymysql
 import pytest
 
@@ -182,3 +183,21 @@
         return cursor.fetchall()
 
     assert await callers.run(script) == ((2,),)
+
+
+async def test_query_attributes_carry_options(callers: Any) -> None:
+    def script(callers: Any) -> int:
+        connection = callers.connector("vm2")
+        cursor = connection.cursor()
+        time.sleep(CATCH_UP_SECONDS)
+        cursor.add_attribute("max_age_ms", "5000")
+        cursor.execute("SELECT 1")
+        cursor.fetchall()
+        with pytest.raises(mysql.connector.Error) as caught:
+            cursor.add_attribute("request_id", "not an id")
+            cursor.execute("SELECT 1")
+        return int(caught.value.errno)
+
+    replica, _ = callers.reads()
+    assert await callers.run(script) == 1210
+    assert callers.reads()[0] == replica + 1
