--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_connection.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_connection.py
@@ -33,6 +33,7 @@
     ok_packet,
 )
 from jackdawcrank.front.prepared_text import split_placeholders
+from jackdawcrank.front.statement_handlers import handle_statement
 from jackdawcrank.results.errors import not_run, not_supported, shutting_down
 from jackdawcrank_wire.messages import (
     ResultError,
@@ -157,7 +158,9 @@
           data: The command without its first byte.
         """
         command = read_query(data, self.capabilities)
-        result = await self.session.handle(command.sql, command.attributes)
+        result = await handle_statement(
+            self.session, command.sql, command.attributes
+        )
         await self._write_result(result)
 
     async def handle_stmt_prepare(self, data: bytes) -> None:
@@ -213,7 +216,9 @@
         prepared = self.prepared[statement.stmt_id]
         command = read_execute(data, prepared, self.capabilities)
         prepared.long_data.clear()
-        result = await self.session.handle(command.sql, command.attributes)
+        result = await handle_statement(
+            self.session, command.sql, command.attributes
+        )
         if not isinstance(result, ResultRows):
             await self._write_result(result)
         elif command.use_cursor:
