Never say not_run after a statement was sent; keep halves of transactions apart

Faults found by the tests of the execution package: a recorded write that lost its connection in the statement was told not_run after it had been sent; a refusal on a second try hid the doubt of the first; a CALL that may commit by itself was not taken so; a transaction that the home had closed went on as a new one and could commit its second half; two first statements at once opened two; a cancelled set-up kept its connection.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/requests/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/requests/__init__.py
@@ -5,6 +5,7 @@
     expired_before,
 )
 from jackdawcrank_policy.requests.request_execution import (
+    CONNECTION_LOST_CODE,
     Executed,
     RequestExecution,
     RequestStep,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "CONNECTION_LOST_CODE",
     "CREATE_TABLE",
     "MAX_REQUEST_ID_LENGTH",
     "REQUEST_RECORD_SECONDS",
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/requests/request_execution.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/requests/request_execution.py
@@ -37,6 +37,9 @@
 ROLLED_BACK_CODES = frozenset(
     {ER_LOCK_WAIT_TIMEOUT, ER_DEADLOCK, ER_READ_ONLY, ER_QUERY_TIMEOUT}
 )
+# The code of a server that is shutting down, which ends a connection too.
+CONNECTION_LOST_CODE = 1053
+CONNECTION_LOST_STATE = "08S01"
 BUSY_RETRY_MS = 200
 NO_PRIMARY_RETRY_MS = 500
 
@@ -242,6 +245,12 @@
         ran = self.step in (RequestStep.RUN, RequestStep.RECORD)
         if ran and self.implicit_commit:
             return Unknown("the statement may have committed itself")
+        if ran:
+            return Failed(
+                CONNECTION_LOST_CODE,
+                CONNECTION_LOST_STATE,
+                f"rolled back, the connection was lost: {reply.detail}",
+            )
         if self.step is RequestStep.ROLLBACK and isinstance(
             self.after_rollback, Failed | NotRun
         ):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
@@ -89,13 +89,22 @@
         if not isinstance(link, ServerLink):
             self._count_failure(server)
             return NotStarted(link.detail)
+        refusal = "cancelled"
+        try:
+            refusal = await self._set_up(link, setup)
+        finally:
+            if refusal:
+                pool.release(link)
+        return NotStarted(refusal) if refusal else link
+
+    async def _set_up(self, link: ServerLink, setup: tuple[str, ...]) -> str:
+        """Set session variables; return why that failed, or nothing."""
         for statement in setup:
             link.dirty = True
             answer = await link.run(statement, SETUP_TIMEOUT_SECONDS)
             if isinstance(answer, ErrorAnswer | LostAnswer):
-                pool.release(link)
-                return NotStarted(f"{statement}: {answer}")
-        return link
+                return f"{statement}: {answer}"
+        return ""
 
     def remaining(self, deadline: float) -> float:
         """Return the seconds that a statement may still take.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
@@ -1,6 +1,7 @@
 """Transactions that sessions have open on a home proxy."""
 
 import asyncio
+import collections
 
 import attrs
 
@@ -11,12 +12,12 @@
     OkAnswer,
     RowsAnswer,
 )
-from jackdawcrank.backend.server_link import ServerLink
 from jackdawcrank.execution.acknowledger import Acknowledger, ReadVerdict
 from jackdawcrank.execution.admission_gate import AdmissionGate
 from jackdawcrank.execution.counters import GroupCounters
 from jackdawcrank.execution.group_state import GroupState
-from jackdawcrank.execution.open_primary import OpenPrimary
+from jackdawcrank.execution.keyed_locks import KeyedLocks
+from jackdawcrank.execution.open_transaction import OpenTransaction
 from jackdawcrank.execution.request_records import (
     DUPLICATE_KEY,
     RequestRecords,
@@ -25,8 +26,13 @@
     NotStarted,
     StatementRunner,
 )
-from jackdawcrank.results import result_error, result_from_answer
+from jackdawcrank.results import (
+    lost_transaction,
+    result_error,
+    result_from_answer,
+)
 from jackdawcrank.results.answers import failed
+from jackdawcrank.results.errors import ROLLED_BACK_CODE, ROLLED_BACK_STATE
 from jackdawcrank_policy.values import (
     Done,
     Failed,
@@ -44,33 +50,9 @@
 )
 
 ROLLED_BACK_CODES = frozenset({1205, 1213, 1290, 3024})
-ROLLED_BACK_CODE = 1213
-ROLLED_BACK_STATE = "40001"
 ROLLBACK_SECONDS = 1.0
 NO_SERVER_RETRY_MS = 200
-
-
-@attrs.define(eq=False)
-class OpenTransaction:
-    """A transaction on a backend connection of its own.
-
-    Attributes:
-      transaction_id: The session's id of it.
-      session_id: The session.
-      link: The connection.
-      primary: The server and term that it runs on.
-      opened_at: When it was opened, on the monotonic clock.
-      wrote: Whether any of its statements may have written.
-      lock: Held while a statement runs.
-    """
-
-    transaction_id: str
-    session_id: str
-    link: ServerLink
-    primary: OpenPrimary
-    opened_at: float
-    wrote: bool = False
-    lock: asyncio.Lock = attrs.Factory(asyncio.Lock)
+MAX_CLOSED_KEPT = 10_000
 
 
 class Transactions:
@@ -79,6 +61,8 @@
     Attributes:
       state: The group.
       open: The open transactions by id.
+      closed: The newest transactions that this home closed by itself.
+      opening: Keeps one transaction from being opened twice.
     """
 
     def __init__(
@@ -97,6 +81,10 @@
         self.records = records
         self.counters = counters
         self.open: dict[str, OpenTransaction] = {}
+        self.closed: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.opening = KeyedLocks()
 
     async def run(
         self, request: StatementRequest, weight: int, deadline: float
@@ -108,9 +96,10 @@
           weight: The caller class's weight.
           deadline: When the caller gives up, on the monotonic clock.
         """
-        transaction = self.open.get(request.transaction_id)
-        if transaction is None:
-            return await self._open_and_run(request, weight, deadline)
+        async with self.opening.hold(request.transaction_id):
+            transaction = self.open.get(request.transaction_id)
+            if transaction is None:
+                return await self._open_and_run(request, weight, deadline)
         ticket = self.gate.enter_at_once(request.caller)
         try:
             async with transaction.lock:
@@ -171,7 +160,8 @@
     ) -> StatementResult:
         if request.kind is StatementKind.ROLLBACK:
             return ResultOk()
-        if request.kind is StatementKind.COMMIT:
+        closed = request.transaction_id in self.closed
+        if closed or request.begun or request.kind is StatementKind.COMMIT:
             return lost_transaction("this proxy does not hold it")
         ticket = await self.gate.enter(
             request.caller, request.caller_class, weight, deadline
@@ -400,6 +390,10 @@
         return ResultOk()
 
     def _close(self, transaction: OpenTransaction) -> None:
+        """Close a transaction that its session may still take for open."""
+        self.closed[transaction.transaction_id] = None
+        while len(self.closed) > MAX_CLOSED_KEPT:
+            self.closed.popitem(last=False)
         transaction.link.close()
         self._finish(transaction)
 
@@ -417,13 +411,3 @@
             in_transaction=True,
             transaction_id=transaction.transaction_id,
         )
-
-
-def lost_transaction(detail: str) -> ResultError:
-    """Return the error of a transaction that was rolled back.
-
-    Args:
-      detail: A sentence for people.
-    """
-    message = f"the transaction was rolled back: {detail}"
-    return result_error(Failed(ROLLED_BACK_CODE, ROLLED_BACK_STATE, message))
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
@@ -24,7 +24,7 @@
 from jackdawcrank.results import result_error, result_from_answer
 from jackdawcrank.results.answers import failed
 from jackdawcrank.statements import FrontKind, classify
-from jackdawcrank_policy.requests import Executed
+from jackdawcrank_policy.requests import CONNECTION_LOST_CODE, Executed
 from jackdawcrank_policy.requests.request_record import RequestResult
 from jackdawcrank_policy.values import (
     Done,
@@ -35,7 +35,9 @@
     Unknown,
 )
 from jackdawcrank_wire.messages import (
+    ResultError,
     ResultOk,
+    StatementOutcome,
     StatementRequest,
     StatementResult,
 )
@@ -172,8 +174,9 @@
         )
         if isinstance(link, NotStarted):
             return await self._judge(link, primary, deadline)
-        kind = classify(request.sql.decode("utf-8", "surrogateescape")).kind
-        implicit = kind is FrontKind.IMPLICIT_COMMIT
+        implicit = _commits_itself(
+            request.sql.decode("utf-8", "surrogateescape")
+        )
         self.state.busy_links[link] = primary.term
         try:
             finish = await self.records.execute(
@@ -242,7 +245,8 @@
         unique key lets one of the two commit.
         """
         if request.repeatable and attempt < MAX_ATTEMPTS:
-            return await self._attempts(request, deadline, attempt)
+            again = await self._attempts(request, deadline, attempt)
+            return result_error(doubt) if _is_refusal(again) else again
         found = await self.records.settle(
             request.request_id, sent_to.term, deadline
         )
@@ -266,11 +270,27 @@
         """Return whether a write left no effect and may find a way now."""
         if isinstance(finish, NotRun):
             return finish.reason is NotRunReason.NO_PRIMARY
+        if finish.code == CONNECTION_LOST_CODE:
+            return True
         current = self.state.primary()
         later = current is not None and current.term > primary.term
         return later and finish.code == READ_ONLY_CODE
 
 
+def _is_refusal(result: StatementResult) -> bool:
+    """Return whether a result says that this attempt did not run."""
+    if not isinstance(result, ResultError):
+        return False
+    return result.outcome is StatementOutcome.NOT_RUN
+
+
+def _commits_itself(sql: str) -> bool:
+    """Return whether a statement may commit by itself, as DDL does."""
+    first_word = sql.lstrip(" \t\r\n(")[:4].lower()
+    kind = classify(sql).kind
+    return kind is FrontKind.IMPLICIT_COMMIT or first_word == "call"
+
+
 def _was_rolled_back(answer: LinkAnswer | NotStarted) -> bool:
     return isinstance(answer, ErrorAnswer) and answer.code == READ_ONLY_CODE
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/caller_session.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Callable
 
+import attrs
 from mysql_mimic.session import BaseSession
 from mysql_mimic.variables import GlobalVariables
 from mysql_mimic.variables import SessionVariables as DriverVariables
@@ -13,6 +14,7 @@
 from jackdawcrank.front.session_variables import SessionVariables
 from jackdawcrank.front.statement_router import StatementRouter
 from jackdawcrank.front.transaction import Transaction
+from jackdawcrank.results import lost_transaction
 from jackdawcrank.results.errors import not_run, not_supported, result_error
 from jackdawcrank.statements import Options
 from jackdawcrank.statements.options import NO_OPTIONS
@@ -26,8 +28,6 @@
     StatementResult,
 )
 
-ROLLED_BACK_CODE = 1213
-ROLLED_BACK_STATE = "40001"
 CONFIGURATION_RETRY_MS = 1000
 _GLOBAL_VARIABLES = GlobalVariables()
 
@@ -140,7 +140,8 @@
         if transaction is None or not transaction.broken:
             return None
         self.transaction = None
-        return _rolled_back(transaction.broken)
+        error = lost_transaction(transaction.broken)
+        return attrs.evolve(error, reason="transaction_lost")
 
     async def send(
         self, kind: StatementKind, sql: str, options: Options
@@ -230,6 +231,7 @@
             last_read_age_ms=last_read.age_ms() if last_read else None,
             last_read_term=last_read.term if last_read else 0,
             setup=self.own.setup,
+            begun=transaction is not None and transaction.begun,
         )
 
     def _record(
@@ -261,13 +263,3 @@
         not_run_yet = result.outcome is StatementOutcome.NOT_RUN
         if transaction.begun or not not_run_yet:
             transaction.broken = result.message or "connection lost"
-
-
-def _rolled_back(detail: str) -> ResultError:
-    return ResultError(
-        StatementOutcome.FAILED,
-        "transaction_lost",
-        ROLLED_BACK_CODE,
-        ROLLED_BACK_STATE,
-        f"the transaction was rolled back: {detail}",
-    )
--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/statement_request.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/messages/statement_request.py
@@ -31,6 +31,7 @@
       last_read_age_ms: The time since that read ended, in milliseconds.
       last_read_term: The term under which that server was chosen.
       setup: Statements that set the session's variables, to run before it.
+      begun: Whether the session's transaction is open on the home already.
     """
 
     group: str
@@ -49,3 +50,4 @@
     last_read_age_ms: int | None = None
     last_read_term: int = 0
     setup: tuple[str, ...] = ()
+    begun: bool = False
