Build the error of a lost transaction in one place

Cause: the front and the home proxies each built it and declared its codes, and the router imported it from the transactions.

Reasons and messages as before.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/entry_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/entry_router.py
@@ -5,13 +5,12 @@
 
 import attrs
 
-from jackdawcrank.execution.transactions import lost_transaction
 from jackdawcrank.metrics import Metrics
 from jackdawcrank.metrics import names as metric_names
 from jackdawcrank.peers import PeerLinks, PeerUnreachable
 from jackdawcrank.process.caller_classes import CallerClasses
 from jackdawcrank.process.home_registry import HomeRegistry
-from jackdawcrank.results import result_error
+from jackdawcrank.results import lost_transaction, result_error
 from jackdawcrank_policy.budget import writer_names
 from jackdawcrank_policy.retry import RetryBudget
 from jackdawcrank_policy.tokens import (
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/results/__init__.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/results/__init__.py
@@ -2,6 +2,7 @@
 
 from jackdawcrank.results.answers import result_from_answer
 from jackdawcrank.results.errors import (
+    lost_transaction,
     not_run,
     not_supported,
     result_error,
@@ -9,6 +10,7 @@
 )
 
 __all__ = [
+    "lost_transaction",
     "not_run",
     "not_supported",
     "result_error",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/results/errors.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/results/errors.py
@@ -14,6 +14,8 @@
 GENERAL_STATE = "HY000"
 UNKNOWN_STATE = "08007"
 GENERAL_CODE = 1105
+ROLLED_BACK_CODE = 1213
+ROLLED_BACK_STATE = "40001"
 
 # The MySQL code and SQLSTATE of each refusal.
 _REFUSALS: dict[NotRunReason, tuple[int, str]] = {
@@ -116,3 +118,13 @@
     """Return the refusal of a proxy that is leaving."""
     detail = "this proxy is leaving; connect again"
     return result_error(NotRun(NotRunReason.SHUTTING_DOWN, detail, 0))
+
+
+def lost_transaction(detail: str) -> ResultError:
+    """Return the error of a transaction that was rolled back.
+
+    Args:
+      detail: A sentence for people.
+    """
+    message = f"the transaction was rolled back: {detail}"
+    return result_error(Failed(ROLLED_BACK_CODE, ROLLED_BACK_STATE, message))
