Share the platform and client fixtures and the option -f

Cause: three conftests started the same platform and store client, and two commands declared the same option.

Change: one conftest for the proxy package, commands/declared_path.py for the option.

--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/apply.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/apply.py
@@ -6,6 +6,7 @@
 import click
 
 from jackdawcrank_cli.client import Answer, Client
+from jackdawcrank_cli.commands.declared_path import declared_path
 from jackdawcrank_cli.commands.run import run
 from jackdawcrank_cli.config import CliConfig
 from jackdawcrank_cli.declared import Declared, read_declared
@@ -24,14 +25,7 @@
 
 
 @click.command()
-@click.option(
-    "-f",
-    "--file",
-    "path",
-    required=True,
-    type=click.Path(exists=True, path_type=pathlib.Path),
-    help="JSON file, or directory of them, that declares resources.",
-)
+@declared_path
 @click.option(
     "--prune", is_flag=True, help="Delete resources that are not declared."
 )
--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/diff.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/diff.py
@@ -6,6 +6,7 @@
 import click
 
 from jackdawcrank_cli.client import Client
+from jackdawcrank_cli.commands.declared_path import declared_path
 from jackdawcrank_cli.commands.run import run
 from jackdawcrank_cli.config import CliConfig
 from jackdawcrank_cli.declared import Declared, read_declared
@@ -21,14 +22,7 @@
 
 
 @click.command()
-@click.option(
-    "-f",
-    "--file",
-    "path",
-    required=True,
-    type=click.Path(exists=True, path_type=pathlib.Path),
-    help="JSON file, or directory of them, that declares resources.",
-)
+@declared_path
 @click.pass_context
 def diff(context: click.Context, path: pathlib.Path) -> None:
     """Show differences between files and system; exit 1 if there are any."""
--- a/packages/jackdawcrank-proxy/tests/config/conftest.py
+++ b/packages/jackdawcrank-proxy/tests/config/conftest.py
@@ -1,37 +1,19 @@
 """Fixtures of the configuration's tests."""
 
 import random
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
 
 from jackdawcrank.config import ConfigurationFollower
-from jackdawcrank.store import Appended, ChangeLog, StoreClient, StoreLimits
+from jackdawcrank.store import Appended, ChangeLog, StoreClient
 from jackdawcrank.timer import ManualTimer
 from jackdawcrank_policy.configuration import Kind
-from jackdawcrank_standins.platform import Platform
 
 Append = Callable[..., Any]
 
 
-@pytest.fixture
-async def platform() -> AsyncIterator[Platform]:
-    platform = Platform()
-    await platform.start()
-    yield platform
-    await platform.close()
-
-
-@pytest.fixture
-async def client(platform: Platform) -> AsyncIterator[StoreClient]:
-    limits = StoreLimits(per_second=1e6, burst=1e6, retry_seconds=0.0)
-    client = StoreClient(platform.url, rng=random.Random(1), limits=limits)
-    await client.start()
-    yield client
-    await client.close()
-
-
 @pytest.fixture
 def change_log(client: StoreClient) -> ChangeLog:
     return ChangeLog(client, rng=random.Random(2))
--- a/packages/jackdawcrank-proxy/tests/membership/test_tracker.py
+++ b/packages/jackdawcrank-proxy/tests/membership/test_tracker.py
@@ -1,7 +1,7 @@
 """Tests of what a VM reads and writes to know the others."""
 
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -13,7 +13,7 @@
     list_interval_seconds,
     page_interval_seconds,
 )
-from jackdawcrank.store import StoreClient, StoreLimits
+from jackdawcrank.store import StoreClient
 from jackdawcrank.timer import ManualTimer
 from jackdawcrank_policy.membership import MembershipView
 from jackdawcrank_policy.values import Vm, VmState
@@ -27,22 +27,10 @@
 
 
 @pytest.fixture
-async def platform() -> AsyncIterator[Platform]:
-    platform = Platform()
-    await platform.start()
+async def platform(platform: Platform) -> Platform:
     for name in ("vm-1", "vm-2"):
         platform.list_vm(vm(name))
-    yield platform
-    await platform.close()
-
-
-@pytest.fixture
-async def client(platform: Platform) -> AsyncIterator[StoreClient]:
-    limits = StoreLimits(per_second=1e6, burst=1e6, retry_seconds=0.0)
-    client = StoreClient(platform.url, rng=random.Random(1), limits=limits)
-    await client.start()
-    yield client
-    await client.close()
+    return platform
 
 
 @pytest.fixture
