--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/actions.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/actions.py
@@ -15,6 +15,7 @@
       GRACE: Servers that are slow to be fenced are waited for no more.
       FENCE_RETRY: Servers that could not be fenced are tried again.
       OPEN_RETRY: The opening of the term is tried again.
+      QUIESCE: What runs on a primary to be moved is waited for no more.
       CATCH_UP: A planned target is waited for no more.
       PROBE: A planned target is probed again.
       ANNOUNCE_RETRY: The new primary is told again.
@@ -25,6 +26,7 @@
     GRACE = "grace"
     FENCE_RETRY = "fence_retry"
     OPEN_RETRY = "open_retry"
+    QUIESCE = "quiesce"
     CATCH_UP = "catch_up"
     PROBE = "probe"
     ANNOUNCE_RETRY = "announce_retry"
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/promotion.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/promotion/promotion.py
@@ -50,6 +50,7 @@
 OPEN_RETRY_SECONDS = 0.25
 MAX_OPEN_RETRY_SECONDS = 2.0
 CATCH_UP_SECONDS = 2.0
+QUIESCE_SECONDS = 0.1
 TARGET_PROBE_SECONDS = 0.01
 ANNOUNCE_RETRY_SECONDS = 0.1
 ANNOUNCE_TRIES = 5
@@ -95,6 +96,7 @@
       claimed_at: When the claim was known to stand, in seconds.
       announce_tries: How often the new primary was told in vain.
       open_retry_seconds: The pause before the next try to open the term.
+      primary_fence_sent: Whether a switch-over has fenced the old primary.
     """
 
     plan: PromotionPlan
@@ -111,6 +113,7 @@
     claimed_at: float = 0.0
     announce_tries: int = 0
     open_retry_seconds: float = OPEN_RETRY_SECONDS
+    primary_fence_sent: bool = False
 
     @property
     def term(self) -> int:
@@ -150,7 +153,7 @@
         actions.append(SetTimer(Timer.DEADLINE, now + DEADLINE_SECONDS))
         if self.plan.cause is PromotionCause.SWITCH_OVER:
             self.step = PromotionStep.HANDING_OVER
-            actions.append(FenceServer(event.row.primary, self.term))
+            actions.append(SetTimer(Timer.QUIESCE, now + QUIESCE_SECONDS))
             actions.append(SetTimer(Timer.CATCH_UP, now + CATCH_UP_SECONDS))
             return actions
         return actions + self.fence_others()
@@ -176,6 +179,10 @@
     @on.register
     def _(self, event: LeaseGivenUp, now: float) -> list[Action]:
         self.given_up.add(event.vm)
+        return self.fence_moved_primary() + self.close_leases(now)
+
+    def close_leases(self, now: float) -> list[Action]:
+        """Take the leases for closed once every writer gave up."""
         if self.leases_closed or not self.all_gave_up():
             return []
         if now < self.plan.quick_from:
@@ -268,6 +275,8 @@
                 return self.open_if_ready(now)
             case Timer.FENCE_RETRY:
                 return self.retry_fences()
+            case Timer.QUIESCE:
+                return self.fence_moved_primary(waited=True)
             case Timer.CATCH_UP if self.step is PromotionStep.HANDING_OVER:
                 return self.fence_others()
             case Timer.PROBE if self.step is PromotionStep.HANDING_OVER:
@@ -296,6 +305,23 @@
         """Return whether every earlier writer promised to act no more."""
         return self.given_up.issuperset(self.plan.old_writers)
 
+    def fence_moved_primary(self, waited: bool = False) -> list[Action]:
+        """Fence the primary of a switch-over once nothing runs on it.
+
+        A writer promises after what it had under way has ended, so promises
+        of all writers say that nothing is rolled back by the fence.
+
+        Args:
+          waited: Whether the writers had their time.
+        """
+        moving = self.step is PromotionStep.HANDING_OVER
+        if not moving or self.primary_fence_sent:
+            return []
+        if not waited and not self.all_gave_up():
+            return []
+        self.primary_fence_sent = True
+        return [FenceServer(self.term_primary(), self.term)]
+
     def fence_others(self) -> list[Action]:
         """Enter the closing step and fence the servers not yet fenced."""
         self.step = PromotionStep.CLOSING
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/acknowledger.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/acknowledger.py
@@ -57,7 +57,7 @@
             verdict = acknowledge(
                 position,
                 term,
-                self.state.lease_state(term),
+                self.state.answer_state(term),
                 self.state.quorum,
                 self.state.spec.confirm_writes,
                 self.state.replicas(),
@@ -91,7 +91,7 @@
         while True:
             verdict = acknowledge_read(
                 term,
-                self.state.lease_state(term),
+                self.state.answer_state(term),
                 self.state.quorum,
                 server,
                 self.state.replicas(),
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
@@ -31,6 +31,7 @@
 NO_PRIMARY_RETRY_MS = 500
 # Answers of a replaced primary that are under way may still come.
 OLD_TERM_GRACE_SECONDS = 0.1
+QUIESCE_SECONDS = 0.05
 CONTROL_CONNECTIONS = 2
 HOME_SEATS = 4
 LATENCY_WEIGHT = 0.1
@@ -62,6 +63,9 @@
       evidence_changed: Notified when a probe was answered.
       on_answer: Told of each answer: server, when asked, when answered.
       on_silence: Told of a server that gave no usable answer.
+      quiescing: How many promises wait for what is under way.
+      held_term: The term that the lease was last held for.
+      held_until: Until when it was held at that time.
       busy_links: Connections to primaries that run a statement, with the
         term under which it was sent.
     """
@@ -101,6 +105,10 @@
         self.on_answer: AnswerListener = _ignore
         self.on_silence: SilenceListener = _ignore
         self.busy_links: dict[ServerLink, int] = {}
+        self.link_freed = Signal()
+        self.quiescing = 0
+        self.held_term = 0
+        self.held_until = -math.inf
 
     @property
     def name(self) -> str:
@@ -196,6 +204,8 @@
         if state is LeaseState.HELD:
             until = self.leases.renewed_at + LEASE_SECONDS
             self.table.evidence.hold_term(until)
+            self.held_term = self.row.term
+            self.held_until = until
 
     def give_up_lease(self, term: int) -> None:
         """Promise never again to act for a term or an earlier one.
@@ -265,6 +275,21 @@
             return LeaseState.LAPSED
         return state
 
+    def answer_state(self, term: int) -> LeaseState:
+        """Return whether an answer of a term's primary may be given now.
+
+        While a lease is being given up nothing new may start, but no later
+        term opens before the promise is sent or the lease has run out, so
+        what is under way may still be answered.
+
+        Args:
+          term: The term.
+        """
+        is_last = self.quiescing > 0 and self.held_term == term
+        if is_last and self.clock() < self.held_until:
+            return LeaseState.HELD
+        return self.lease_state(term)
+
     def primary(self) -> OpenPrimary | None:
         """Return the primary, if it may get statements now."""
         row = self.row
@@ -339,6 +364,34 @@
             if started < term:
                 link.close()
 
+    def link_started(self, link: ServerLink, term: int) -> None:
+        """Note that a primary owes an answer, or a transaction's end.
+
+        Args:
+          link: The connection.
+          term: The term under which it was chosen.
+        """
+        self.busy_links[link] = term
+
+    def link_finished(self, link: ServerLink) -> None:
+        """Note that nothing is under way on a connection any more.
+
+        Args:
+          link: The connection.
+        """
+        if self.busy_links.pop(link, None) is not None:
+            self.link_freed.notify()
+
+    async def quiesce(self) -> None:
+        """Wait a moment for what is under way on the primary."""
+        until = self.clock() + QUIESCE_SECONDS
+        self.quiescing += 1
+        try:
+            while self.busy_links and (left := until - self.clock()) > 0:
+                await self.link_freed.wait(left)
+        finally:
+            self.quiescing -= 1
+
     def _ensure_connections(self, server: ServerSpec) -> None:
         known = self.pools.get(server.name)
         if known is not None and _same_address(known.endpoint, server):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
@@ -64,11 +64,11 @@
             load.start()
         try:
             if term is not None:
-                self.state.busy_links[link] = term
+                self.state.link_started(link, term)
             answer = await link.run(request.sql, self.remaining(deadline))
             return answer
         finally:
-            self.state.busy_links.pop(link, None)
+            self.state.link_finished(link)
             self.state.pools[server].release(link)
             if load is not None:
                 self._observe(server, load, answer, started)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
@@ -209,7 +209,7 @@
             self.state.clock(),
         )
         self.open[request.transaction_id] = transaction
-        self.state.busy_links[link] = primary.term
+        self.state.link_started(link, primary.term)
         return transaction
 
     async def _serve(
@@ -399,7 +399,7 @@
 
     def _finish(self, transaction: OpenTransaction) -> None:
         if self.open.pop(transaction.transaction_id, None) is transaction:
-            self.state.busy_links.pop(transaction.link, None)
+            self.state.link_finished(transaction.link)
             pool = self.state.pools[transaction.primary.server]
             pool.release(transaction.link)
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
@@ -177,13 +177,13 @@
         implicit = _commits_itself(
             request.sql.decode("utf-8", "surrogateescape")
         )
-        self.state.busy_links[link] = primary.term
+        self.state.link_started(link, primary.term)
         try:
             finish = await self.records.execute(
                 link, request, implicit, deadline
             )
         finally:
-            self.state.busy_links.pop(link, None)
+            self.state.link_finished(link)
             self.state.pools[primary.server].release(link)
         if isinstance(finish, Executed):
             return await self._judge_executed(
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/session_progress.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/session_progress.py
@@ -140,7 +140,12 @@
         self.token = self.token.advanced(group, position, branch)
 
     def _record_loss(self, group: str, result: ResultError) -> None:
-        """Begin anew once the caller was told that something was lost."""
-        if result.reason == NotRunReason.WRITE_LOST.value:
-            self.last_reads.pop(group, None)
+        """Begin anew with what the caller was told is lost.
+
+        The loss of a read may come first; a lost write of the session is
+        then told of by the refusal of the next read.
+        """
+        if result.reason != NotRunReason.WRITE_LOST.value:
+            return
+        if self.last_reads.pop(group, None) is None:
             self.token = self.token.without(group)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_context.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_context.py
@@ -1,7 +1,7 @@
 """What the parts of a group's coordination share."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -23,6 +23,10 @@
 RowCallback = Callable[[GroupRow, int], None]
 
 
+async def _nothing() -> None:
+    """Wait for nothing."""
+
+
 @attrs.define(eq=False)
 class GroupContext:
     """One group as one of its homes sees it.
@@ -41,6 +45,7 @@
       avoid: Servers that should not become primary, such as leaving ones.
       history: The newest row and how it came to be.
       tasks: Work that runs beside.
+      quiesce: Waits for what this VM has under way on the primary.
       blocked: What keeps a promotion from going on; empty for nothing.
       closed: Whether coordination on this VM has ended.
     """
@@ -58,6 +63,7 @@
     avoid: frozenset[str] = frozenset()
     history: RowHistory = attrs.field(factory=RowHistory)
     tasks: BackgroundTasks = attrs.field(factory=BackgroundTasks)
+    quiesce: Callable[[], Awaitable[None]] = _nothing
     blocked: str = ""
     closed: bool = False
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_driver.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_driver.py
@@ -73,6 +73,7 @@
             context.tasks,
             self.store_row,
             self.tell_step,
+            context.quiesce,
         )
         try:
             end = await self.runner.run()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/promotion_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from typing import Any
 
 from jackdawcrank.backend.server_control import (
@@ -45,6 +45,7 @@
     Probed,
     ProbeServer,
     Promotion,
+    PromotionCause,
     SetTimer,
     StoreLost,
     TimerFired,
@@ -78,6 +79,7 @@
         tasks: BackgroundTasks,
         on_row: RowCallback,
         on_step: Callable[[Action | Event], None],
+        quiesce: Callable[[], Awaitable[None]],
     ) -> None:
         self.promotion = promotion
         self.servers = servers
@@ -88,6 +90,7 @@
         self.tasks = tasks
         self.on_row = on_row
         self.on_step = on_step
+        self.quiesce = quiesce
         self.events: asyncio.Queue[Event] = asyncio.Queue()
         self.timers: dict[str, Subscription] = {}
         self.over = False
@@ -230,6 +233,8 @@
         group = self.promotion.plan.group
         if action.vm == self.promotion.plan.vm:
             self.leases.give_up(group, action.term - 1)
+            if self.promotion.plan.cause is PromotionCause.SWITCH_OVER:
+                await self.quiesce()
             self.post(LeaseGivenUp(action.vm))
             return
         for _ in range(GIVE_UP_TRIES):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
@@ -240,6 +240,7 @@
             on_report=group.observe,
             rng=self.rng,
         )
+        agent.context.quiesce = group.state.quiesce
         group.state.on_answer = agent.observe_answer
         group.state.on_silence = agent.observe_silence
         home = Home(group, agent)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/peer_service.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/peer_service.py
@@ -82,6 +82,8 @@
         if home is not None:
             home.agent.give_up_requested(message.term)
             home.group.state.give_up_lease(message.term - 1)
+            if home.agent.status().health.is_answering:
+                await home.group.state.quiesce()
         else:
             self.registry.leases.give_up(message.group, message.term - 1)
         return LeaseGivenUp(0, message.group, message.term)
