Read the state of a backend server in one column

A probe read four variables in four columns, each described by a packet of its own, and probes are most of the control traffic of a VM.

The contract reads the four values in one text column, still plain SQL over ordinary variables. The stand-in answers it without a slot, as it did the columns; both forms are tested there and against the contract.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/mysql_control.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/mysql_control.py
@@ -18,7 +18,8 @@
 from jackdawcrank_policy.values import Position, ServerReport, ServerRole
 
 PROBE_SQL = (
-    "SELECT @@group_term, @@group_role, @@log_position, @@group_caught_up"
+    "SELECT CONCAT_WS(' ', @@group_term, @@group_role, @@log_position,"
+    " @@group_caught_up) AS report"
 )
 CONFIRM_MARGIN_SECONDS = 0.2
 
@@ -139,8 +140,8 @@
     def _read_report(self, answer: LinkAnswer) -> ServerReport | Unreachable:
         if not isinstance(answer, RowsAnswer) or not answer.rows:
             return Unreachable(str(answer))
-        texts = [(value or b"").decode() for value in answer.rows[0]]
         try:
+            texts = (answer.rows[0][0] or b"").decode().split(" ")
             return ServerReport(
                 server=self.name,
                 term=int(texts[0]),
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/session.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/backend/session.py
@@ -48,6 +48,11 @@
     r"\s*@@(?:(?:global|session|local)\.)?(\w+)\s*(?:(?:AS\s+)?(\w+))?\s*$",
     re.IGNORECASE,
 )
+JOINED_VARIABLES = re.compile(
+    r"\s*SELECT\s+CONCAT_WS\s*\(\s*'([^'\\]*)'\s*,([^()']*)\)"
+    r"\s*(?:AS\s+(\w+)\s*)?;?\s*$",
+    re.IGNORECASE,
+)
 WAIT = re.compile(
     r"\s*SELECT\s+WAIT_FOR_LOG_POSITION\s*\(\s*['\"]([^'\"]*)['\"]\s*,"
     r"\s*([\d.]+)\s*\)",
@@ -144,6 +149,9 @@
 
     def system_variables(self, sql: str) -> RowsAnswer | None:
         """Answer a SELECT of system variables only, or return None."""
+        joined = JOINED_VARIABLES.match(sql)
+        if joined is not None:
+            return self.joined_variables(*joined.groups())
         body = sql.strip().rstrip(";").strip()[len("SELECT") :]
         body = re.sub(r"\s+LIMIT\s+\d+$", "", body, flags=re.IGNORECASE)
         names: list[str] = []
@@ -156,6 +164,18 @@
             values.append(self.system_variable(match[1].lower()))
         return rows_answer(tuple(names), [tuple(values)])
 
+    def joined_variables(
+        self, separator: str, items: str, alias: str | None
+    ) -> RowsAnswer | None:
+        """Answer CONCAT_WS of system variables only, or return None."""
+        matches = [VARIABLE_ITEM.match(item) for item in items.split(",")]
+        names = [match[1] for match in matches if match and not match[2]]
+        if len(names) < len(matches):
+            return None
+        values = [self.system_variable(name.lower()) for name in names]
+        text = separator.join(str(v) for v in values if v is not None)
+        return rows_answer((alias or "CONCAT_WS",), [(text,)])
+
     def system_variable(self, name: str) -> Scalar:
         """Return the value of a system variable of server or session."""
         if name in self.server.variables:
--- a/packages/jackdawcrank-standins/tests/backend/test_replication.py
+++ b/packages/jackdawcrank-standins/tests/backend/test_replication.py
@@ -44,13 +44,29 @@
 async def test_state_row(
     group: BackendGroup, client: Any, connect: Any
 ) -> None:
-    state = (
-        "SELECT @@group_term, @@group_role, @@log_position, @@group_caught_up"
-    )
+    variables = "@@group_term, @@group_role, @@log_position, @@group_caught_up"
+    report = f"SELECT CONCAT_WS(' ', {variables}) AS report"
+    state = f"SELECT {variables}"
     assert await client.rows(state) == [(1, "primary", "1:1", 1)]
+    assert await client.rows(report) == [("1 primary 1:1 1",)]
     await settled(group, "b")
     replica = connect(group.servers["b"])
     assert await replica.rows(state) == [(1, "replica", "1:1", 1)]
+    assert await replica.rows(report) == [("1 replica 1:1 1",)]
+
+
+async def test_the_state_takes_no_slot(
+    group: BackendGroup, client: Any
+) -> None:
+    server = group.servers["a"]
+    ran = len(server.executed)
+    for _ in range(server.slots):
+        await server.begin_work()
+    report = "SELECT CONCAT_WS(' ', @@group_term, @@group_role) AS report"
+    assert await client.rows(report) == [("1 primary",)]
+    assert len(server.executed) == ran
+    for _ in range(server.slots):
+        server.end_work()
 
 
 async def test_replicas_follow(
--- a/packages/jackdawcrank-standins/tests/backend/test_session.py
+++ b/packages/jackdawcrank-standins/tests/backend/test_session.py
@@ -202,6 +202,8 @@
             ("id", "bigint", "NO", "PRI", None, "auto_increment"),
         ),
         ("SELECT @@group_term, @@GROUP_ROLE", (1, "primary")),
+        ("SELECT concat_ws('/', @@group_term, @@GROUP_ROLE)", ("1/primary",)),
+        ("SELECT CONCAT_WS('-', @@group_term, 7)", ("1-7",)),
         ("SELECT @@session.autocommit AS a LIMIT 1", (1,)),
     ],
 )
--- a/packages/jackdawcrank-standins/tests/contract/test_backend_contract.py
+++ b/packages/jackdawcrank-standins/tests/contract/test_backend_contract.py
@@ -64,6 +64,15 @@
     assert await endpoints[1].run(far) == ((None,),)
 
 
+async def test_the_state_comes_in_one_column(primary: Any) -> None:
+    rows = await primary.run(
+        "SELECT CONCAT_WS(' ', @@group_term, @@group_role, @@log_position,"
+        " @@group_caught_up) AS report"
+    )
+    position = await primary.position()
+    assert rows == ((f"{await primary.term()} primary {position} 1",),)
+
+
 async def test_a_fence_never_sinks(primary: Any) -> None:
     term = await primary.term()
     await primary.run(f"SET GLOBAL group_term = {term}")
