Ping one idle connection for all that a server has

Each idle connection was pinged every 10 s, and one that the server had closed was found only when it was used.

The longest silent idle connection of a server is pinged, at most one in 10 s; if it is silent all others are checked at once. A connection whose end is known is dropped within a second, without a packet, and is never handed out.

--- a/bench/slopes_parts/backend_connections.py
+++ b/bench/slopes_parts/backend_connections.py
@@ -9,9 +9,9 @@
 from slopes_parts.usage import begin_usage, end_usage, memory_bytes
 from slopes_parts.world import wait_until
 
-CONNECTIONS = [15.0, 30.0, 45.0, 60.0]
+CONNECTIONS = [15.0, 30.0, 60.0]
 SETTLE_SECONDS = 1.0
-MEASURE_SECONDS = 3.0
+MEASURE_SECONDS = 10.5
 ROLE = "home proxy"
 UNIT = "warm backend connection"
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_link.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_link.py
@@ -97,6 +97,12 @@
         set_tcp_limits(connection)
         return cls(endpoint.server, connection)
 
+    @property
+    def ended(self) -> bool:
+        """Return whether the connection is closed, by whichever end."""
+        transport = self.connection._transport
+        return not self.usable or transport is None or transport.is_closing()
+
     async def run(self, sql: str | bytes, timeout_seconds: float) -> LinkAnswer:
         """Run one statement and read its whole answer.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
@@ -35,7 +35,9 @@
 
     A connection serves one transaction at a time. It is reset before reuse
     where session state may be left, checked after another connection to the
-    same server was lost, and closed after any doubtful answer.
+    same server was lost, and closed after any doubtful answer. One idle
+    connection stands for all: the longest silent one is pinged, and the
+    others only if it does not answer.
 
     Attributes:
       endpoint: The server.
@@ -62,6 +64,7 @@
         self.opening = 0
         self.draining = False
         self.suspect_since = 0.0
+        self.pinged_at = 0.0
         self.idle: list[ServerLink] = []
         self.busy: set[ServerLink] = set()
         self.waiters: collections.deque[asyncio.Future[None]] = (
@@ -152,8 +155,9 @@
         while self.idle:
             link = self.idle.pop()
             self.in_use += 1
-            if not link.usable:
+            if link.ended:
                 self.in_use -= 1
+                self._drop(link, "lost")
                 continue
             if link.last_answer_at >= self.suspect_since:
                 return link
@@ -229,21 +233,43 @@
 
     async def _keep(self) -> None:
         while True:
+            self._drop_ended()
             if self._answer_is_late():
                 await self._check_silence()
             await self._check_oldest_idle()
             await self._add_warm()
             await asyncio.sleep(IDLE_CHECK_SECONDS)
 
+    def _drop_ended(self) -> None:
+        for link in tuple(self.idle):
+            if link.ended:
+                self.idle.remove(link)
+                self._drop(link, "lost")
+
     async def _check_oldest_idle(self) -> None:
         stale_before = time.monotonic() - MAX_SILENCE_SECONDS
-        for link in tuple(self.idle):
-            if link not in self.idle or link.last_answer_at > stale_before:
-                continue
-            self.idle.remove(link)
-            self.in_use += 1
-            await self._checked(link)
+        if not self.idle or self.pinged_at > stale_before:
+            return
+        link = min(self.idle, key=lambda one: one.last_answer_at)
+        if link.last_answer_at > stale_before:
+            return
+        self.pinged_at = time.monotonic()
+        self.idle.remove(link)
+        self.in_use += 1
+        answered = await self._checked(link)
+        self._finish_release(link)
+        if not answered:
+            await self._check_all_idle()
+
+    async def _check_all_idle(self) -> bool:
+        """Ping every idle connection; return whether one was silent."""
+        idle = list(self.idle)
+        self.idle.clear()
+        self.in_use += len(idle)
+        answers = await asyncio.gather(*map(self._checked, idle))
+        for link in idle:
             self._finish_release(link)
+        return not all(answers)
 
     def _answer_is_late(self) -> bool:
         late_before = time.monotonic() - LATE_ANSWER_SECONDS
@@ -259,13 +285,7 @@
         lies between has lost track of the old ones.
         """
         suspected = [link for link in self.busy if link.asked_at is not None]
-        idle = list(self.idle)
-        self.idle.clear()
-        self.in_use += len(idle)
-        answers = await asyncio.gather(*map(self._checked, idle))
-        for link in idle:
-            self._finish_release(link)
-        if not idle or all(answers):
+        if not await self._check_all_idle():
             return
         fresh = await self._open(CONNECT_TIMEOUT_SECONDS)
         if not isinstance(fresh, ServerLink):
--- /dev/null
+++ b/packages/jackdawcrank-proxy/tests/backend/test_server_pool.py
@@ -0,0 +1,131 @@
+"""Tests of the connections to one backend server."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+
+from jackdawcrank.backend import server_pool
+from jackdawcrank.backend.endpoint import Endpoint
+from jackdawcrank.backend.server_link import ServerLink
+from jackdawcrank.backend.server_pool import ServerPool
+from jackdawcrank_standins.backend import BackendServer
+
+WARM = 5
+PERIOD_SECONDS = 0.01
+CHECKS = 300
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    for _ in range(CHECKS):
+        if condition():
+            return
+        await asyncio.sleep(PERIOD_SECONDS)
+    raise AssertionError("the condition never held")
+
+
+@pytest.fixture
+def pinged(monkeypatch: pytest.MonkeyPatch) -> list[ServerLink]:
+    """The connections that were pinged, in order."""
+    found: list[ServerLink] = []
+    ping = ServerLink.ping
+
+    async def counted(self: ServerLink, timeout_seconds: float) -> bool:
+        found.append(self)
+        return await ping(self, timeout_seconds)
+
+    monkeypatch.setattr(ServerLink, "ping", counted)
+    monkeypatch.setattr(server_pool, "IDLE_CHECK_SECONDS", PERIOD_SECONDS)
+    monkeypatch.setattr(server_pool, "PING_TIMEOUT_SECONDS", 0.05)
+    return found
+
+
+@pytest.fixture
+def dropped() -> list[str]:
+    return []
+
+
+@pytest.fixture
+async def pool(
+    endpoint: Endpoint, dropped: list[str], pinged: list[ServerLink]
+) -> AsyncIterator[ServerPool]:
+    pool = ServerPool(
+        endpoint, WARM, WARM, lambda server, why: dropped.append(why)
+    )
+    pool.start()
+    await until(lambda: len(pool.idle) == WARM)
+    yield pool
+    await pool.close()
+
+
+def age(pool: ServerPool) -> None:
+    """Let every idle connection look as if silent for long, in order."""
+    for number, link in enumerate(pool.idle):
+        link.last_answer_at -= 100 - number
+    pool.pinged_at -= 100
+
+
+async def test_one_idle_connection_is_pinged_for_all(
+    pool: ServerPool, pinged: list[ServerLink]
+) -> None:
+    oldest = pool.idle[0]
+    age(pool)
+    await until(lambda: bool(pinged))
+    for _ in range(5):
+        await asyncio.sleep(PERIOD_SECONDS)
+    assert pinged == [oldest]
+    assert len(pool.idle) == WARM
+
+
+async def test_a_fresh_connection_is_not_pinged(
+    pool: ServerPool, pinged: list[ServerLink]
+) -> None:
+    pool.pinged_at -= 100
+    for _ in range(5):
+        await asyncio.sleep(PERIOD_SECONDS)
+    assert not pinged
+
+
+async def test_a_silent_ping_has_all_others_checked(
+    pool: ServerPool, server: BackendServer, dropped: list[str]
+) -> None:
+    silent = set(pool.idle)
+    server.silence()
+    age(pool)
+    await until(lambda: len(dropped) == WARM)
+    await until(lambda: len(pool.idle) == WARM)
+    assert silent.isdisjoint(pool.idle)
+    assert (pool.in_use, pool.opening) == (0, 0)
+
+
+async def test_closed_connections_are_replaced_without_a_ping(
+    pool: ServerPool,
+    server: BackendServer,
+    dropped: list[str],
+    pinged: list[ServerLink],
+) -> None:
+    closed = set(pool.idle)
+    await server.stop()
+    await server.restart()
+    await until(lambda: len(dropped) == WARM)
+    await until(lambda: len(pool.idle) == WARM)
+    assert closed.isdisjoint(pool.idle)
+    assert not pinged
+
+
+async def test_a_closed_connection_is_never_handed_out(
+    endpoint: Endpoint, server: BackendServer, dropped: list[str]
+) -> None:
+    pool = ServerPool(endpoint, 2, 0, lambda server, why: dropped.append(why))
+    first = await pool.acquire(2.0)
+    assert isinstance(first, ServerLink)
+    pool.release(first)
+    await server.stop()
+    await server.restart()
+    await until(lambda: first.ended)
+    second = await pool.acquire(2.0)
+    assert isinstance(second, ServerLink)
+    assert second is not first
+    assert dropped == ["lost"]
+    pool.release(second)
+    await pool.close()
