Read the benches seed in one place

Cause: nine benches declared the same parser, drain.py connected in three copies, and judge.py failed the type check.

Change: report.seed_argument, one connect in drain.py, a type for the list in judge.py.

--- a/bench/config_spread.py
+++ b/bench/config_spread.py
@@ -9,7 +9,6 @@
 more and more other VMs and database groups. Part three starts a new VM.
 """
 
-import argparse
 import asyncio
 import random
 import statistics
@@ -46,7 +45,7 @@
     TableStore,
     parse_transaction,
 )
-from report import Check, write_result
+from report import Check, seed_argument, write_result
 
 PROXIES = 21
 CHANGES = 12
@@ -345,10 +344,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    arguments = parser.parse_args()
-    raise SystemExit(0 if run(arguments.seed) else 1)
+    raise SystemExit(0 if run(seed_argument(__doc__)) else 1)
 
 
 if __name__ == "__main__":
--- a/bench/detectors.py
+++ b/bench/detectors.py
@@ -1,6 +1,5 @@
 """Compares ways to suspect a primary: delay at equal false promotions."""
 
-import argparse
 import concurrent.futures
 import math
 import random
@@ -9,7 +8,7 @@
 
 import attrs
 
-from report import Check, write_result
+from report import Check, seed_argument, write_result
 from writes_model.deadline_rule import alarm_times
 from writes_model.deployment import DEPLOYMENTS, Deployment
 from writes_model.probe_stream import ProbeStream
@@ -224,9 +223,7 @@
 
 def main() -> None:
     """Compare and write the result."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
+    seed = seed_argument(__doc__)
     figures, checks = run(seed)
     write_result("detectors", seed, figures, checks)
 
--- a/bench/drain.py
+++ b/bench/drain.py
@@ -12,7 +12,6 @@
 lost, a write that said `not_run` but stands as a false refusal.
 """
 
-import argparse
 import asyncio
 import collections
 import random
@@ -31,8 +30,9 @@
     EmbeddedOptions,
 )
 from jackdawcrank.embedded.embedded_system import EmbeddedSystem
+from jackdawcrank.process import Proxy
 from jackdawcrank_standins.backend import BackendServer
-from report import Check, write_result
+from report import Check, seed_argument, write_result
 
 GROUP = "depot"
 CALLERS = 24
@@ -126,14 +126,7 @@
             return False
         proxy = self.rng.choice(ready)
         try:
-            self.connection = await asyncmy.connect(
-                host="127.0.0.1",
-                port=proxy.front.port,
-                user=CALLER_USER,
-                password=CALLER_PASSWORD,
-                db=GROUP,
-                autocommit=True,
-            )
+            self.connection = await connect(proxy)
         except (asyncmy_errors.MySQLError, OSError):
             self.tally.note("connect_failed")
             return False
@@ -289,16 +282,22 @@
     return system.groups[GROUP].servers[name]
 
 
-async def stored_ids(system: EmbeddedSystem) -> set[int]:
-    """Return the ids of all writes that stand."""
-    proxy = next(p for p in system.proxies.values() if p.ready)
-    connection = await asyncmy.connect(
+async def connect(proxy: Proxy) -> Any:
+    """Return a caller's connection that commits each statement."""
+    return await asyncmy.connect(
         host="127.0.0.1",
         port=proxy.front.port,
         user=CALLER_USER,
         password=CALLER_PASSWORD,
         db=GROUP,
+        autocommit=True,
     )
+
+
+async def stored_ids(system: EmbeddedSystem) -> set[int]:
+    """Return the ids of all writes that stand."""
+    proxy = next(p for p in system.proxies.values() if p.ready)
+    connection = await connect(proxy)
     async with connection.cursor() as cursor:
         await cursor.execute("SELECT id FROM drained")
         rows = await cursor.fetchall()
@@ -309,13 +308,7 @@
 async def create_table(system: EmbeddedSystem) -> None:
     """Create the table that callers write to."""
     proxy = next(iter(system.proxies.values()))
-    connection = await asyncmy.connect(
-        host="127.0.0.1",
-        port=proxy.front.port,
-        user=CALLER_USER,
-        password=CALLER_PASSWORD,
-        db=GROUP,
-    )
+    connection = await connect(proxy)
     async with connection.cursor() as cursor:
         await cursor.execute("CREATE TABLE drained (id INT PRIMARY KEY)")
     connection.close()
@@ -412,10 +405,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    arguments = parser.parse_args()
-    raise SystemExit(0 if run(arguments.seed) else 1)
+    raise SystemExit(0 if run(seed_argument(__doc__)) else 1)
 
 
 if __name__ == "__main__":
--- a/bench/failover_gap.py
+++ b/bench/failover_gap.py
@@ -1,6 +1,5 @@
 """Measures for how long writes stop when a primary is lost or moved."""
 
-import argparse
 import concurrent.futures
 import itertools
 import math
@@ -9,7 +8,7 @@
 
 import attrs
 
-from report import Check, write_result
+from report import Check, seed_argument, write_result
 from writes_model.deployment import DEPLOYMENTS, Deployment
 from writes_model.fault import Fault
 from writes_model.gap import Gap, measure
@@ -163,9 +162,7 @@
 
 def main() -> None:
     """Measure and write the result."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
+    seed = seed_argument(__doc__)
     figures, checks = run(seed)
     write_result("failover_gap", seed, figures, checks)
 
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -6,7 +6,6 @@
 the cost of a decision is measured on the machine's clock.
 """
 
-import argparse
 import functools
 import heapq
 import itertools
@@ -28,7 +27,7 @@
 from jackdawcrank_policy.budget import seat_share
 from jackdawcrank_policy.values import NotRun
 from reads_model.deployment import MOORFELD, PAMOJA, Deployment
-from report import Check, write_result
+from report import Check, seed_argument, write_result
 
 REGIONS = 3
 SERVICE_SECONDS = 0.010
@@ -306,9 +305,7 @@
 
 def main() -> None:
     """Run the benchmark from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    run(parser.parse_args().seed)
+    run(seed_argument(__doc__))
 
 
 if __name__ == "__main__":
--- a/bench/proxy_overhead.py
+++ b/bench/proxy_overhead.py
@@ -5,7 +5,6 @@
 straight to the primary's stand-in and through the proxy, in turns.
 """
 
-import argparse
 import asyncio
 import json
 import os
@@ -20,7 +19,7 @@
 import asyncmy
 import attrs
 
-from report import Check, write_result
+from report import Check, seed_argument, write_result
 
 CONNECTIONS = 8
 ROUNDS = 5
@@ -205,9 +204,7 @@
 
 def main() -> None:
     """Run from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    sys.exit(0 if run(parser.parse_args().seed) else 1)
+    sys.exit(0 if run(seed_argument(__doc__)) else 1)
 
 
 if __name__ == "__main__":
--- a/bench/replica_reads.py
+++ b/bench/replica_reads.py
@@ -6,7 +6,6 @@
 against the true log.
 """
 
-import argparse
 import collections
 import itertools
 from typing import Any
@@ -18,7 +17,7 @@
 from reads_model.replication import LagShape
 from reads_model.simulation import Scenario, Simulation
 from reads_model.workload import KINDS, Tally
-from report import Check, write_result
+from report import Check, seed_argument, write_result
 
 LAGS_SECONDS = (0.0, 0.1, 0.5, 1.0, 2.0, 5.0)
 BASELINE_LAGS_SECONDS = (0.0, 0.5, 2.0, 5.0)
@@ -178,9 +177,7 @@
 
 def main() -> None:
     """Run the benchmark from the command line."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    run(parser.parse_args().seed)
+    run(seed_argument(__doc__))
 
 
 if __name__ == "__main__":
--- a/bench/report.py
+++ b/bench/report.py
@@ -1,5 +1,6 @@
 """Writes the result of one benchmark run as JSON."""
 
+import argparse
 import json
 import pathlib
 import subprocess
@@ -28,6 +29,17 @@
     met: bool
 
 
+def seed_argument(description: str | None) -> int:
+    """Return the seed that the command line names, or 1.
+
+    Args:
+      description: What the benchmark does, for `--help`.
+    """
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--seed", type=int, default=1)
+    return int(parser.parse_args().seed)
+
+
 def revision() -> str:
     """Return the short name of the checked-out commit, or `unknown`."""
     command = ["git", "rev-parse", "--short", "HEAD"]
--- a/bench/soak_parts/judge.py
+++ b/bench/soak_parts/judge.py
@@ -184,7 +184,7 @@
 
 def lost(system: EmbeddedSystem, recorder: Recorder) -> list[str]:
     """Return the acknowledged writes that the final primaries lack."""
-    missing = []
+    missing: list[str] = []
     for group in system.groups.values():
         primary = leader(group)
         kept = set(rows(primary)) if primary is not None else set()
--- a/bench/standins.py
+++ b/bench/standins.py
@@ -5,7 +5,6 @@
 replicas apply what is written.
 """
 
-import argparse
 import asyncio
 import multiprocessing
 import random
@@ -17,7 +16,7 @@
 import asyncmy
 
 from jackdawcrank_standins.backend import BackendGroup, BackendServer
-from report import Check, write_result
+from report import Check, seed_argument, write_result
 
 GROUP = "bench"
 CLIENTS = 2
@@ -152,9 +151,7 @@
 
 def main() -> None:
     """Read the command line and run the benchmark."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    sys.exit(not run(parser.parse_args().seed))
+    sys.exit(not run(seed_argument(__doc__)))
 
 
 if __name__ == "__main__":
--- a/bench/write_histories.py
+++ b/bench/write_histories.py
@@ -1,12 +1,11 @@
 """Checks the histories of whole runs under overlapping faults."""
 
-import argparse
 import concurrent.futures
 import functools
 
 import attrs
 
-from report import Check, write_result
+from report import Check, seed_argument, write_result
 from writes_model.deployment import DEPLOYMENTS
 from writes_model.outage import outage
 from writes_model.turmoil import turmoil
@@ -73,9 +72,7 @@
 
 def main() -> None:
     """Run and write the result."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
+    seed = seed_argument(__doc__)
     figures, checks = run(seed)
     write_result("write_histories", seed, figures, checks)
 
