--- a/bench/slopes_parts/time_line.py
+++ b/bench/slopes_parts/time_line.py
@@ -35,7 +35,7 @@
         record_cpu.append(spent)
         memory.append(float(memory_bytes()))
         started = time.process_time()
-        merged = merge_events(timeline.since(0)[0])
+        merged = merge_events(timeline.since(0).events)
         merge_cpu.append(time.process_time() - started)
         size.append(float(len(to_json_lines(merged))))
     unit = "event"
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/operators/timeline_handler.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/operators/timeline_handler.py
@@ -1,6 +1,7 @@
 """Streams the events of this process."""
 
 import asyncio
+from collections.abc import Sequence
 
 import attrs
 from aiohttp import web
@@ -62,17 +63,17 @@
         if request.query.get("boot", timeline.boot) != timeline.boot:
             since = 0
         follower = timeline.follow() if request.query.get("follow") else None
-        events, dropped = timeline.since(since)
+        kept = timeline.since(since)
         headers = {
             **LINES,
             "Jackdawcrank-Vm": timeline.vm,
             "Jackdawcrank-Boot": timeline.boot,
-            "Jackdawcrank-Dropped": str(dropped),
+            "Jackdawcrank-Dropped": str(kept.dropped),
         }
         response = web.StreamResponse(headers=headers)
         try:
             await response.prepare(request)
-            await send_events(response, events, wanted)
+            await send_events(response, kept.events, wanted)
             if follower is not None:
                 await self.follow(response, follower, wanted)
         except ConnectionError:
@@ -114,7 +115,7 @@
 
 async def send_events(
     response: web.StreamResponse,
-    events: list[TimelineEvent],
+    events: Sequence[TimelineEvent],
     wanted: EventFilter,
 ) -> None:
     """Send the wanted ones of some events."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/timeline/timeline.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/timeline/timeline.py
@@ -7,6 +7,7 @@
 import time
 
 from jackdawcrank.timeline.follower import Follower
+from jackdawcrank.timeline.kept_events import KeptEvents
 from jackdawcrank_wire.events import EventKind, TimelineEvent
 
 DEFAULT_CAPACITY = 10_000
@@ -74,20 +75,17 @@
             follower.offer(event)
         return event
 
-    def since(self, sequence: int) -> tuple[list[TimelineEvent], int]:
-        """Return the events above a sequence number and how many are lost.
+    def since(self, sequence: int) -> KeptEvents:
+        """Return the events above a sequence number.
 
         Args:
           sequence: The newest number that the reader already has.
-
-        Returns:
-          The events that are still kept, oldest first, and the number of
-          events above `sequence` that no longer are.
         """
         oldest = self.sequence - len(self.events) + 1
         skipped = max(0, sequence + 1 - oldest)
         dropped = max(0, oldest - sequence - 1)
-        return list(itertools.islice(self.events, skipped, None)), dropped
+        events = tuple(itertools.islice(self.events, skipped, None))
+        return KeptEvents(events, dropped)
 
     def follow(self) -> Follower:
         """Return a reader of the events that are recorded from now on."""
--- a/packages/jackdawcrank-proxy/tests/timeline/test_burst_counter.py
+++ b/packages/jackdawcrank-proxy/tests/timeline/test_burst_counter.py
@@ -10,7 +10,7 @@
     bursts.add("soil", "deadline")
     bursts.flush()
     bursts.flush()
-    events, _ = timeline.since(0)
+    events = timeline.since(0).events
     assert [(event.group, dict(event.detail)) for event in events] == [
         ("soil", {"reason": "deadline", "count": "1"}),
         ("soil", {"reason": "overloaded", "count": "1000"}),
--- a/packages/jackdawcrank-proxy/tests/timeline/test_timeline.py
+++ b/packages/jackdawcrank-proxy/tests/timeline/test_timeline.py
@@ -50,9 +50,9 @@
     timeline: Timeline, since: int, kept: list[int], dropped: int
 ) -> None:
     fill(timeline, 8)
-    events, lost = timeline.since(since)
-    assert [event.sequence for event in events] == kept
-    assert lost == dropped
+    found = timeline.since(since)
+    assert [event.sequence for event in found.events] == kept
+    assert found.dropped == dropped
 
 
 async def test_followers_get_what_is_recorded_from_now_on(
