Split writes and their outcomes from the change log

Cause: change_log.py held six public types and the building of transactions in 356 lines.

Change: append_outcome.py holds the outcomes, write.py the write and its transaction; change_log.py (231 lines) only appends.

--- a/bench/config_spread.py
+++ b/bench/config_spread.py
@@ -30,7 +30,7 @@
     StoreLimits,
     Transaction,
 )
-from jackdawcrank.store.change_log import Write, transaction_for
+from jackdawcrank.store.write import Write, transaction_for
 from jackdawcrank.timer import ManualTimer, TimerService
 from jackdawcrank_policy.configuration import (
     Change,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/quick_group_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/quick_group_rows.py
@@ -9,12 +9,12 @@
     Stored,
     StoreUnavailable,
 )
-from jackdawcrank.store.change_log import Write, transaction_for
 from jackdawcrank.store.group_row_codec import encode_group_row
 from jackdawcrank.store.group_rows import GroupRows, row_in
 from jackdawcrank.store.head import HEAD, Head, read_head
 from jackdawcrank.store.outcome import Committed, Row
 from jackdawcrank.store.outcome import StoreUnavailable as NoAnswer
+from jackdawcrank.store.write import Write, transaction_for
 from jackdawcrank_policy.configuration import Kind
 from jackdawcrank_policy.values import GroupRow
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/__init__.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/__init__.py
@@ -1,12 +1,12 @@
 """The platform's services and the change log kept in them."""
 
-from jackdawcrank.store.change_codec import decode_change, encode_change
-from jackdawcrank.store.change_log import (
+from jackdawcrank.store.append_outcome import (
     Appended,
     ChangeConflict,
-    ChangeLog,
     Unchanged,
 )
+from jackdawcrank.store.change_codec import decode_change, encode_change
+from jackdawcrank.store.change_log import ChangeLog
 from jackdawcrank.store.client import StoreClient
 from jackdawcrank.store.head import Head, read_head
 from jackdawcrank.store.limits import StoreLimits
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/change_log.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/change_log.py
@@ -1,7 +1,6 @@
 """Writes to the change log, the single order of all changes."""
 
 import asyncio
-import dataclasses
 import random
 import time
 import uuid
@@ -10,10 +9,15 @@
 
 import attrs
 
-from jackdawcrank.store.change_codec import change_key, encode_change
+from jackdawcrank.store.append_outcome import (
+    Appended,
+    AppendOutcome,
+    ChangeConflict,
+    Unchanged,
+)
 from jackdawcrank.store.change_reader import read_change
 from jackdawcrank.store.client import StoreClient
-from jackdawcrank.store.head import HEAD, Head, read_head
+from jackdawcrank.store.head import Head, read_head
 from jackdawcrank.store.outcome import (
     Absent,
     Committed,
@@ -22,11 +26,16 @@
     StoreUnavailable,
 )
 from jackdawcrank.store.transaction import (
-    RowCheck,
-    RowDelete,
-    RowPut,
     Transaction,
 )
+from jackdawcrank.store.write import (
+    Expectation,
+    Write,
+    already_so,
+    at_version,
+    resource_version,
+    transaction_for,
+)
 from jackdawcrank_policy.configuration import Change, Kind
 
 APPEND_SECONDS = 8.0
@@ -34,104 +43,6 @@
 MAX_RETRY_PAUSE_SECONDS = 1.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Appended:
-    """The change is committed.
-
-    Attributes:
-      version: Its version.
-      change: The change.
-    """
-
-    version: int
-    change: Change
-
-
-@dataclasses.dataclass(frozen=True)
-class ChangeConflict:
-    """The row is not as the writer expected; nothing was written.
-
-    Attributes:
-      current: The row's value; None if there is no row.
-      actor: Who wrote it; empty if that is no longer known.
-      version: The version of the change that wrote it; 0 for no row.
-      at: When it was written, in seconds since the epoch.
-    """
-
-    current: Mapping[str, Any] | None
-    actor: str
-    version: int
-    at: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True)
-class Unchanged:
-    """The resource already is as the writer wants it; nothing was written.
-
-    Attributes:
-      version: The version of the change that made it so.
-      actor: Who made that change; empty if that is no longer known.
-    """
-
-    version: int
-    actor: str = ""
-
-
-@attrs.frozen
-class Write:
-    """A change that is about to be made.
-
-    Attributes:
-      kind: The kind of row.
-      name: The row's name.
-      body: The row's new value; None deletes it.
-      actor: Who makes the change.
-      token: The token that tells this write from every other.
-    """
-
-    kind: str
-    name: str
-    body: Mapping[str, Any] | None
-    actor: str
-    token: str
-
-    @property
-    def table(self) -> str:
-        """Return the table that holds the row."""
-        return "groups" if self.kind == Kind.GROUP_ROW else "resources"
-
-    @property
-    def key(self) -> str:
-        """Return the row's key."""
-        if self.kind == Kind.GROUP_ROW:
-            return self.name
-        return f"{self.kind}/{self.name}"
-
-
-AppendOutcome = Appended | Unchanged | ChangeConflict | StoreUnavailable
-Expectation = Callable[[Row | None], bool]
-
-
-def at_version(version: int | None) -> Expectation:
-    """Return the expectation that a resource is at a version.
-
-    Args:
-      version: The resource version; 0 for no row, None for any.
-    """
-
-    def holds(row: Row | None) -> bool:
-        return version is None or resource_version(row) == version
-
-    return holds
-
-
-def resource_version(row: Row | None) -> int:
-    """Return the version of the change that wrote a resource's row."""
-    if row is None:
-        return 0
-    return int(row.value.get("resource_version", 0))
-
-
 @attrs.define
 class ChangeLog:
     """Appends changes, each at most once.
@@ -318,39 +229,3 @@
             return False
         await asyncio.sleep(pause)
         return True
-
-
-def already_so(write: Write, present: Row | None) -> bool:
-    """Return whether a resource is as a write would make it.
-
-    A repeated write, whose first answer was lost, is recognized by this.
-    """
-    if write.kind == Kind.GROUP_ROW:
-        return False
-    if write.body is None or present is None:
-        return write.body is None and present is None
-    body = dict(present.value)
-    body.pop("resource_version", None)
-    return body == dict(write.body)
-
-
-def transaction_for(
-    write: Write, change: Change, head: Head, present: Row | None
-) -> Transaction:
-    """Return the transaction that makes a change."""
-    moved = attrs.evolve(head, version=change.version)
-    puts = [
-        RowPut(HEAD, HEAD, moved.value()),
-        RowPut("changes", change_key(change.version), encode_change(change)),
-    ]
-    deletes: tuple[RowDelete, ...] = ()
-    if change.deleted:
-        deletes = (RowDelete(write.table, write.key),)
-    else:
-        puts.append(RowPut(write.table, write.key, dict(change.document)))
-    row_version = present.version if present is not None else None
-    checks = (
-        RowCheck(HEAD, HEAD, head.row_version),
-        RowCheck(write.table, write.key, row_version),
-    )
-    return Transaction(checks, tuple(puts), deletes)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/store/group_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/store/group_rows.py
@@ -8,11 +8,8 @@
     StoreUnavailable,
 )
 from jackdawcrank.store import outcome
-from jackdawcrank.store.change_log import (
-    Appended,
-    ChangeConflict,
-    ChangeLog,
-)
+from jackdawcrank.store.append_outcome import Appended, ChangeConflict
+from jackdawcrank.store.change_log import ChangeLog
 from jackdawcrank.store.client import StoreClient
 from jackdawcrank.store.group_row_codec import (
     decode_group_row,
