Probe replicas once a second while the primary is not in doubt

The coordinator of a group probed all three servers every 0.25 s, though a replica matters for failover only once the primary is in doubt.

Only the primary is probed that often. A miss and a new term bring all servers to 0.25 s as before; a planned move probes all servers first, since it judges by their lag. The capacity table now counts the keepalive of idle backend connections too.

--- a/bench/slopes_parts/capacity.py
+++ b/bench/slopes_parts/capacity.py
@@ -18,6 +18,8 @@
 RESTARTS_PER_DAY = 150
 LOST_PER_DAY = 6
 HOMES_PER_GROUP = 3
+# Five slots on each of three servers.
+WARM_CONNECTIONS = 15
 KEPT_EVENTS = 20_000
 READ_SHARE = 0.8
 SECONDS_PER_DAY = 86_400
@@ -181,6 +183,8 @@
     full.add(CPU, "coordinator", "group coordinated", CPU_RATE, COORDINATED)
     full.add(TRAFFIC, "home proxy", "group homed", backend, HOMED)
     full.add(TRAFFIC, "coordinator", "group coordinated", backend, COORDINATED)
+    warm = WARM_CONNECTIONS * HOMED
+    full.add(TRAFFIC, "home proxy", "warm backend connection", backend, warm)
 
 
 def add_configuration(full: Extrapolation) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_agent.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_agent.py
@@ -255,6 +255,7 @@
             return Refused("a promotion is under way")
         if row is None or row.phase is not GroupPhase.ACTIVE:
             return Refused("the group has no open term")
+        await self.probes.refresh()
         reports = self.probes.reports()
         if row.primary not in reports:
             return Refused("the primary does not answer")
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_probes.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/group_probes.py
@@ -103,13 +103,18 @@
         self.set_pace()
 
     def set_pace(self) -> None:
-        """Probe often while coordinating, in a new term or in suspicion."""
+        """Probe often in a new term or in suspicion, else as often as needed.
+
+        The coordinator watches the primary closely; a replica matters only
+        once the primary is in doubt.
+        """
         new = self.timer.now() - self.row_since < NEW_TERM_SECONDS
-        hasty = self.coordinating or self.detector.misses > 0 or new
+        eager = new or self.detector.misses > 0
         for name, probe in self.probes.items():
-            if hasty:
+            is_primary = name == self.primary
+            if eager or (is_primary and self.coordinating):
                 probe.hasten(PROBE_INTERVAL_SECONDS)
-            elif name == self.primary:
+            elif is_primary:
                 probe.hasten(CALM_PRIMARY_INTERVAL_SECONDS)
             else:
                 probe.hasten(CALM_INTERVAL_SECONDS)
@@ -188,6 +193,10 @@
         self.detector.answered(sent_at, now)
         return True
 
+    async def refresh(self) -> None:
+        """Probe every server now."""
+        await asyncio.gather(*(one.probe() for one in self.probes.values()))
+
     async def refresh_primary(self) -> None:
         """Probe the primary unless its newest answer is fresh."""
         probe = self.probes.get(self.primary)
