--- a/packages/jackdawcrank-proxy/src/jackdawcrank/embedded/embedded_system.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/embedded/embedded_system.py
@@ -61,11 +61,16 @@
         await self.platform.close()
 
     async def drain(self) -> None:
-        """Stop the proxies gracefully, then everything else."""
-        for proxy in self.proxies.values():
-            await proxy.drain("signal")
-        for proxy in self.proxies.values():
-            await proxy.stopped.wait()
+        """Close callers at statement boundaries, then stop everything.
+
+        No proxy stays that homes could be handed over to.
+        """
+        await asyncio.gather(
+            *(
+                proxy.front.drain(proxy.settings.shutdown_timeout_seconds)
+                for proxy in self.proxies.values()
+            )
+        )
         await self.close()
 
     async def start_proxy(self, vm: str) -> Proxy:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
@@ -164,7 +164,8 @@
         until = time.monotonic() + HAND_OVER_SECONDS
         while time.monotonic() < until:
             homes = self.registry.homes.values()
-            if all(home.retiring and home.idle for home in homes):
+            nobody_left = not self.registry.view.live
+            if all(h.idle and (h.retiring or nobody_left) for h in homes):
                 return
             await asyncio.sleep(HAND_OVER_CHECK_SECONDS)
 
