Bound transactions on a leaving server by its group's drain time; wait for idle homes by event

Cause: a leaving server's open transactions ran up to the transaction time-out, not the declared drainTimeoutMs, and two loops polled for idle homes. Change: the home closes them at the bound, and retiring and shutdown wait for an event. The new case of test_a_closed_transaction fails without the bound.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
@@ -59,6 +59,7 @@
       table: Evidence and load, for routing.
       pools: The connections to each server.
       controls: The control connections to each server.
+      leaving_since: Since when each leaving server gets no new work.
       term_changed: Notified when the row or a lease changes.
       evidence_changed: Notified when a probe was answered.
       on_answer: Told of each answer: server, when asked, when answered.
@@ -102,6 +103,7 @@
         self.term_changed = Signal()
         self.evidence_changed = Signal()
         self.failover_waiters = 0
+        self.leaving_since: dict[str, float] = {}
         self.on_answer: AnswerListener = _ignore
         self.on_silence: SilenceListener = _ignore
         self.busy_links: dict[ServerLink, int] = {}
@@ -167,8 +169,7 @@
         for name in gone:
             self.pools[name].drain()
         for server in servers:
-            if server.state is ServerState.LEAVING:
-                self.pools[server.name].drain()
+            self._follow_leaving(server)
         latencies = {n: load.latency for n, load in self.table.loads.items()}
         slots = self.spec.slots_per_server
         self.table.set_servers(servers, slots, latencies)
@@ -392,6 +393,23 @@
         finally:
             self.quiescing -= 1
 
+    def drained_out(self) -> list[str]:
+        """Return the leaving servers whose transactions had their time."""
+        limit = self.spec.drain_timeout_ms / 1000
+        now = self.clock()
+        return [
+            name
+            for name, since in self.leaving_since.items()
+            if now - since > limit
+        ]
+
+    def _follow_leaving(self, server: ServerSpec) -> None:
+        if server.state is not ServerState.LEAVING:
+            self.leaving_since.pop(server.name, None)
+            return
+        self.leaving_since.setdefault(server.name, self.clock())
+        self.pools[server.name].drain()
+
     def _ensure_connections(self, server: ServerSpec) -> None:
         known = self.pools.get(server.name)
         if known is not None and _same_address(known.endpoint, server):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/home_group.py
@@ -54,6 +54,7 @@
       counters: Counts of outcomes.
       transactions: The open transactions.
       in_flight: Statements that are being served.
+      on_less_work: Called when a statement or transaction has ended.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         )
         self.counters = GroupCounters()
         self.in_flight = 0
+        self.on_less_work: Callable[[], None] = _do_nothing
         self.classes: Mapping[str, CallerClassSpec] = {}
         self.gate = AdmissionGate(GroupAdmission(limit=1), clock)
         runner = StatementRunner(self.state)
@@ -161,18 +163,24 @@
             result = await self._dispatch(request, deadline)
         finally:
             self.in_flight -= 1
+            self.on_less_work()
         self._count(result)
         return result
 
     def tick(self, now: float) -> list[str]:
-        """Do what time asks for; return ids of expired transactions.
+        """Do what time asks for; return ids of closed transactions.
 
         Args:
           now: The time on the monotonic clock.
         """
         self.state.apply_budget()
         self._follow_slots()
-        return self.transactions.expire(now)
+        closed = self.transactions.expire(now)
+        for server in self.state.drained_out():
+            closed += self.transactions.close_on_server(server)
+        if closed:
+            self.on_less_work()
+        return closed
 
     async def _dispatch(
         self, request: StatementRequest, deadline: float
@@ -273,3 +281,7 @@
         str(result.last_insert_id),
     )
     return single_text(names, (values,))
+
+
+def _do_nothing() -> None:
+    """Take no notice."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/signal.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/signal.py
@@ -4,13 +4,21 @@
 
 
 class Signal:
-    """A change that can be awaited again and again."""
+    """A change that can be awaited again and again.
+
+    Attributes:
+      event: The next change.
+      waiting: How many wait for it.
+    """
 
     def __init__(self) -> None:
         self.event = asyncio.Event()
+        self.waiting = 0
 
     def notify(self) -> None:
         """Wake everybody who waits now."""
+        if not self.waiting:
+            return
         self.event.set()
         self.event = asyncio.Event()
 
@@ -21,9 +29,12 @@
           timeout_seconds: The longest that this may take.
         """
         event = self.event
+        self.waiting += 1
         try:
             async with asyncio.timeout(timeout_seconds):
                 await event.wait()
         except TimeoutError:
             return False
+        finally:
+            self.waiting -= 1
         return True
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
@@ -140,8 +140,8 @@
             self._close(transaction)
         return [transaction.transaction_id for transaction in expired]
 
-    def close_on_server(self, server: str) -> int:
-        """Close the transactions on a server; return how many there were.
+    def close_on_server(self, server: str) -> list[str]:
+        """Close the transactions on a server; return their ids.
 
         Args:
           server: The server's name.
@@ -149,7 +149,7 @@
         found = [t for t in self.open.values() if t.primary.server == server]
         for transaction in found:
             self._close(transaction)
-        return len(found)
+        return [transaction.transaction_id for transaction in found]
 
     def close_all(self) -> None:
         """Close every transaction."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from jackdawcrank.execution.home_group import HomeGroup
+from jackdawcrank.execution.signal import Signal
 from jackdawcrank.groups import GroupAgent, GroupPeers, GroupStore
 from jackdawcrank.process.home import Home
 from jackdawcrank.timeline import Timeline
@@ -22,7 +23,6 @@
 )
 from jackdawcrank_wire.events import EventKind
 
-RETIRE_CHECK_SECONDS = 0.1
 MAX_RETIRE_SECONDS = 60.0
 
 
@@ -67,6 +67,7 @@
         self.leases = LeaseTable(vm)
         self.first_rows: dict[str, GroupRow] | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        self.changed = Signal()
 
     async def close(self) -> None:
         """Close every home."""
@@ -112,6 +113,7 @@
           view: The membership as this VM sees it.
         """
         self.view = view
+        self.changed.notify()
         changed = self.index.update(
             {vm: self._data_center(vm) for vm in view.live}
         )
@@ -137,6 +139,7 @@
         """
         for home in self.homes.values():
             home.group.transactions.end_sessions_of(f"{vm}:")
+        self.changed.notify()
 
     def holds_sessions_of(self, vm: str) -> bool:
         """Return whether sessions of an entry proxy have transactions here.
@@ -151,6 +154,28 @@
             for transaction in home.group.transactions.open.values()
         )
 
+    async def handed_over(self, timeout_seconds: float) -> bool:
+        """Wait until this VM is a home of nothing; return whether it is.
+
+        Where no other VM is left to take over, it is enough that nothing is
+        in flight.
+
+        Args:
+          timeout_seconds: The longest that this may take.
+        """
+        until = self.timer.now() + timeout_seconds
+        while not self._is_handed_over():
+            left = until - self.timer.now()
+            if left <= 0:
+                return False
+            await self.changed.wait(left)
+        return True
+
+    def _is_handed_over(self) -> bool:
+        alone = not self.view.live
+        homes = self.homes.values()
+        return all(h.idle and (h.retiring or alone) for h in homes)
+
     async def tick(self, now: float) -> None:
         """Do what time asks for.
 
@@ -243,6 +268,7 @@
         agent.context.quiesce = group.state.quiesce
         group.state.on_answer = agent.observe_answer
         group.state.on_silence = agent.observe_silence
+        group.on_less_work = self.changed.notify
         home = Home(group, agent)
         self.homes[spec.name] = home
         self._spawn(agent.start())
@@ -304,12 +330,13 @@
     def _retire(self, name: str, home: Home) -> None:
         if not home.retiring:
             home.retiring = True
+            self.changed.notify()
             self._spawn(self._close_when_idle(name, home))
 
     async def _close_when_idle(self, name: str, home: Home) -> None:
         until = self.timer.now() + MAX_RETIRE_SECONDS
-        while not home.idle and self.timer.now() < until:
-            await asyncio.sleep(RETIRE_CHECK_SECONDS)
+        while not home.idle and (left := until - self.timer.now()) > 0:
+            await self.changed.wait(left)
             if not home.retiring:
                 return
         if self.homes.get(name) is home:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
@@ -38,7 +38,6 @@
 METRICS_SECONDS = 10.0
 LISTING_SECONDS = 1.0
 HAND_OVER_SECONDS = 10.0
-HAND_OVER_CHECK_SECONDS = 0.1
 BOOT_ID_BYTES = 4
 # Each of them tells as many again.
 PEERS_TOLD_OF_VERSION = 8
@@ -157,18 +156,9 @@
         limit = self.settings.shutdown_timeout_seconds
         cut = await self.front.drain(limit)
         self.timeline.record(EventKind.CALLERS_CLOSED, cut=cut)
-        await self._hand_over_homes()
+        await self.registry.handed_over(HAND_OVER_SECONDS)
         await self._close_parts()
 
-    async def _hand_over_homes(self) -> None:
-        until = time.monotonic() + HAND_OVER_SECONDS
-        while time.monotonic() < until:
-            homes = self.registry.homes.values()
-            nobody_left = not self.registry.view.live
-            if all(h.idle and (h.retiring or nobody_left) for h in homes):
-                return
-            await asyncio.sleep(HAND_OVER_CHECK_SECONDS)
-
     async def _close_parts(self) -> None:
         if self.stopped.is_set():
             return
--- a/packages/jackdawcrank-proxy/tests/execution/test_transactions.py
+++ b/packages/jackdawcrank-proxy/tests/execution/test_transactions.py
@@ -176,6 +176,9 @@
     play(scenario)
 
 
+LEAVING = ServerState.LEAVING
+
+
 async def expire(world: Any) -> None:
     await asyncio.sleep(1.5)
     assert world.group.tick(asyncio.get_running_loop().time()) == ["t1"]
@@ -193,7 +196,26 @@
     )
 
 
-@pytest.mark.parametrize("close", [expire, remove_server])
+async def outlast_leaving_server(world: Any) -> None:
+    world.group.set_servers(
+        [
+            ServerSpec("s1", "ledger", "127.0.0.1", 1, state=LEAVING),
+            *(
+                ServerSpec(name, "ledger", "127.0.0.1", 1)
+                for name in ("s2", "s3")
+            ),
+        ]
+    )
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(0.3)
+    assert world.group.tick(loop.time()) == []
+    await asyncio.sleep(0.3)
+    assert world.group.tick(loop.time()) == ["t1"]
+
+
+@pytest.mark.parametrize(
+    "close", [expire, remove_server, outlast_leaving_server]
+)
 def test_a_closed_transaction_does_not_go_on_as_a_new_one(
     play: Callable[..., Any], outcome: Any, close: Any
 ) -> None:
@@ -209,7 +231,10 @@
         assert outcome(second) == "failed"
         assert outcome(last) == "failed"
 
-    play(scenario, GroupSpec("ledger", transaction_timeout_ms=1000))
+    spec = GroupSpec(
+        "ledger", transaction_timeout_ms=1000, drain_timeout_ms=500
+    )
+    play(scenario, spec)
 
 
 def test_two_first_statements_at_once_share_one_connection(
