Ask again for the primary after a connection came; say how many targets a run met

Cause: the primary was chosen before the wait for a connection, so a statement or transaction could begin on it after its lease had been given up.

--- a/bench/run.py
+++ b/bench/run.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from typing import Any
 
 import attrs
@@ -36,10 +37,14 @@
     Attributes:
       name: The benchmark's name.
       process: Its process.
+      root: The checkout that it runs in.
+      started_at: When it was started, in seconds since the epoch.
     """
 
     name: str
     process: subprocess.Popen[bytes]
+    root: pathlib.Path
+    started_at: float
 
 
 def start(name: str, seed: int, root: pathlib.Path) -> Run | None:
@@ -50,10 +55,23 @@
     paths = [root / f"packages/jackdawcrank-{s}/src" for s in SOURCES]
     environment = os.environ | {"PYTHONPATH": ":".join(map(str, paths))}
     command = [sys.executable, str(script), "--seed", str(seed)]
+    started_at = time.time()
     process = subprocess.Popen(
         command, stdout=subprocess.DEVNULL, cwd=root, env=environment
     )
-    return Run(name, process)
+    return Run(name, process, root, started_at)
+
+
+def summary(run: Run, status: int) -> str:
+    """Return how many targets a benchmark met, or that it failed."""
+    path = run.root / "bench" / "results" / f"{run.name}.json"
+    if not path.exists() or path.stat().st_mtime < run.started_at:
+        return f"no result, status {status}"
+    verdict = json.loads(path.read_text())["verdict"]
+    missed = [check["name"] for check in verdict if not check["met"]]
+    if missed:
+        return f"{len(missed)} of {len(verdict)} missed: " + "; ".join(missed)
+    return f"{len(verdict)} of {len(verdict)} met"
 
 
 def finish(run: Run) -> None:
@@ -65,7 +83,7 @@
         run.process.wait()
         print(f"{run.name}: no end after {TIMEOUT_SECONDS} s")
         return
-    print(f"{run.name}: {'targets met' if status == 0 else 'see verdict'}")
+    print(f"{run.name}: {summary(run, status)}")
 
 
 def run_all(seed: int, root: pathlib.Path, only: list[str]) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/read_path.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/read_path.py
@@ -274,6 +274,8 @@
             primary.server, request, deadline, primary.term
         )
         if isinstance(answer, NotStarted):
+            if not self.runner.still_open(primary.server, primary.term):
+                return None
             return result_error(
                 NotRun(NotRunReason.NO_SERVER, answer.detail, 200)
             )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/statement_runner.py
@@ -10,6 +10,7 @@
 )
 from jackdawcrank.backend.server_link import ServerLink
 from jackdawcrank.execution.group_state import GroupState
+from jackdawcrank.execution.open_primary import OpenPrimary
 from jackdawcrank_policy.routing import ServerLoad
 from jackdawcrank_wire.messages import StatementRequest
 
@@ -57,6 +58,9 @@
         link = await self.acquire(server, request.setup, deadline)
         if isinstance(link, NotStarted):
             return link
+        if term is not None and not self.still_open(server, term):
+            self.state.pools[server].release(link)
+            return NotStarted("the primary was moved meanwhile")
         load = self.state.table.loads.get(server)
         started = self.state.clock()
         answer: LinkAnswer = LostAnswer(True, "cancelled")
@@ -106,6 +110,18 @@
                 return f"{statement}: {answer}"
         return ""
 
+    def still_open(self, server: str, term: int) -> bool:
+        """Return whether a server is still the primary that may get work.
+
+        Getting a connection may take long, so what was true before it has to
+        be asked again before anything is sent.
+
+        Args:
+          server: The server's name.
+          term: The term under which it was chosen.
+        """
+        return self.state.primary() == OpenPrimary(server, term)
+
     def remaining(self, deadline: float) -> float:
         """Return the seconds that a statement may still take.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/transactions.py
@@ -181,23 +181,29 @@
     async def _begin(
         self, request: StatementRequest, deadline: float
     ) -> OpenTransaction | NotRun:
-        primary = await self.state.wait_for_primary(deadline)
-        if isinstance(primary, NotRun):
-            return primary
-        link = await self.runner.acquire(
-            primary.server, request.setup, deadline
-        )
-        if isinstance(link, NotStarted):
-            return NotRun(
-                NotRunReason.NO_SERVER, link.detail, NO_SERVER_RETRY_MS
+        while True:
+            primary = await self.state.wait_for_primary(deadline)
+            if isinstance(primary, NotRun):
+                return primary
+            link = await self.runner.acquire(
+                primary.server, request.setup, deadline
             )
+            if isinstance(link, NotStarted):
+                return NotRun(
+                    NotRunReason.NO_SERVER, link.detail, NO_SERVER_RETRY_MS
+                )
+            if self.runner.still_open(primary.server, primary.term):
+                break
+            self.state.pools[primary.server].release(link)
         link.dirty = True
+        self.state.link_started(link, primary.term)
         answer: LinkAnswer = LostAnswer(False, "cancelled")
         try:
             answer = await link.run("BEGIN", self.runner.remaining(deadline))
         finally:
             if not isinstance(answer, OkAnswer):
                 link.close()
+                self.state.link_finished(link)
                 self.state.pools[primary.server].release(link)
         if not isinstance(answer, OkAnswer):
             detail = f"no transaction could be opened: {answer}"
@@ -210,7 +216,6 @@
             self.state.clock(),
         )
         self.open[request.transaction_id] = transaction
-        self.state.link_started(link, primary.term)
         return transaction
 
     async def _serve(
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/write_path.py
@@ -114,6 +114,8 @@
             answer = await self.runner.run(
                 primary.server, request, deadline, primary.term
             )
+            if isinstance(answer, NotStarted) and self._moved(primary):
+                continue
             again = request.repeatable and attempt < MAX_ATTEMPTS
             if not _was_rolled_back(answer) or not again:
                 return await self._judge(answer, primary, deadline)
@@ -174,6 +176,9 @@
         )
         if isinstance(link, NotStarted):
             return await self._judge(link, primary, deadline)
+        if self._moved(primary):
+            self.state.pools[primary.server].release(link)
+            return await self._attempts(request, deadline, attempt)
         implicit = _commits_itself(
             request.sql.decode("utf-8", "surrogateescape")
         )
@@ -270,6 +275,10 @@
         self.counters.writes += 1
         return _ok(found.record.result, position, "")
 
+    def _moved(self, primary: OpenPrimary) -> bool:
+        """Return whether a primary may not get work any more."""
+        return not self.runner.still_open(primary.server, primary.term)
+
     def _runs_elsewhere(
         self, finish: NotRun | Failed, primary: OpenPrimary
     ) -> bool:
