--- a/bench/report.py
+++ b/bench/report.py
@@ -49,6 +49,16 @@
     return answer.stdout.strip() or "unknown"
 
 
+def command_line(arguments: list[str]) -> str:
+    """Return a run's command as it is typed in the root of a checkout.
+
+    Args:
+      arguments: The script and its arguments; the script may have any path.
+    """
+    script = f"bench/{pathlib.Path(arguments[0]).name}"
+    return " ".join(["python", script, *arguments[1:]])
+
+
 def write_result(
     name: str, seed: int, figures: dict[str, Any], checks: list[Check]
 ) -> bool:
@@ -62,7 +72,7 @@
     """
     result = {
         "name": name,
-        "command": " ".join(["python", *sys.argv]),
+        "command": command_line(sys.argv),
         "seed": seed,
         "revision": revision(),
         "figures": figures,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/execution/group_state.py
@@ -12,7 +12,7 @@
 from jackdawcrank.execution.open_primary import OpenPrimary
 from jackdawcrank.execution.signal import Signal
 from jackdawcrank_policy.acknowledgement import Quorum
-from jackdawcrank_policy.budget import BudgetLedger
+from jackdawcrank_policy.budget import SEATS, BudgetLedger
 from jackdawcrank_policy.lease import LEASE_SECONDS, LeaseState, LeaseTable
 from jackdawcrank_policy.routing import RoutingTable
 from jackdawcrank_policy.values import (
@@ -33,7 +33,6 @@
 OLD_TERM_GRACE_SECONDS = 0.1
 QUIESCE_SECONDS = 0.05
 CONTROL_CONNECTIONS = 2
-HOME_SEATS = 4
 LATENCY_WEIGHT = 0.1
 
 DropListener = Callable[[str, str], None]
@@ -431,8 +430,8 @@
         self.controls[server.name] = MysqlControl(endpoint)
 
     def _budget(self) -> int:
-        control = CONTROL_CONNECTIONS * HOME_SEATS * max(1, len(self.servers))
-        return max(HOME_SEATS, self.spec.connection_limit - control)
+        control = CONTROL_CONNECTIONS * SEATS * max(1, len(self.servers))
+        return max(SEATS, self.spec.connection_limit - control)
 
 
 def no_primary(detail: str) -> NotRun:
