--- a/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/settings.py
+++ b/packages/jackdawcrank-wire/src/jackdawcrank_wire/settings/settings.py
@@ -106,12 +106,6 @@
         minimum=0.05,
         maximum=1.5,
     )
-    probe_seconds: float = key(
-        "Time between probes of a backend server, in seconds.",
-        default=0.25,
-        minimum=0.02,
-        maximum=5.0,
-    )
     statsd_host: str = key(
         "IP address of the statsd server; empty sends no metrics.",
         default="",
