Declare the confirmation in its test as an operator would

Cause: test_dead_replica_does_not_hold_confirmed_writes set confirm_writes on the homes by hand; a change of the configuration in the first seconds, such as the row's upkeep, puts the declared value back, and then no write was confirmed. Change: the test declares confirmWrites through the change log and waits until every home has it; its assertions are the same.

--- a/packages/jackdawcrank-proxy/tests/system/test_failures.py
+++ b/packages/jackdawcrank-proxy/tests/system/test_failures.py
@@ -221,10 +221,20 @@
     await own_callers.run(prepare)
     system = own_callers.system
     proxy = system.proxies["vm1"]
-    spec = proxy.follower.configuration.groups["depot"]
-    for one in system.proxies.values():
-        for home in one.registry.homes.values():
-            home.group.set_spec(attrs.evolve(spec, confirm_writes=True))
+    entry = proxy.follower.configuration.entries["DatabaseGroup", "depot"]
+    body = {**entry.document}
+    version = body.pop("resource_version")
+    body["spec"] = {**body["spec"], "confirmWrites": True}
+    await proxy.change_log.append(
+        "DatabaseGroup", "depot", body, version, "test"
+    )
+    await until(
+        lambda: all(
+            home.group.state.spec.confirm_writes
+            for one in system.proxies.values()
+            for home in one.registry.homes.values()
+        )
+    )
     group = system.groups["depot"]
     replica = next(n for n in group.servers if n != system.primary_of("depot"))
     group.partition(replica, from_servers=False)
