--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/catalog/__init__.py
@@ -0,0 +1,15 @@
+"""What operators declared and servers reported, in one picture."""
+
+from jackdawcrank_policy.catalog.consistency import Consistency
+from jackdawcrank_policy.catalog.database_spec import DatabaseSpec
+from jackdawcrank_policy.catalog.declarations import Declarations
+from jackdawcrank_policy.catalog.listed_server import ListedServer
+from jackdawcrank_policy.catalog.served_group import ServedGroup
+
+__all__ = [
+    "Consistency",
+    "DatabaseSpec",
+    "Declarations",
+    "ListedServer",
+    "ServedGroup",
+]
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/place.py
@@ -0,0 +1,108 @@
+"""The choice among servers that may run a read.
+
+Answers the daily peak and bursts: replicas take the reads that they can be
+proved to answer, the nearest first, until they are slower than a server
+farther off.
+"""
+
+import enum
+from collections.abc import Iterable
+
+import attrs
+
+from jackdawcrank_policy.placement.server_condition import ServerCondition
+from jackdawcrank_policy.values.position import Position
+
+
+class Distance(enum.IntEnum):
+    """How far a server is from this proxy."""
+
+    DATA_CENTER = 0
+    REGION = 1
+    ELSEWHERE = 2
+
+
+# What a statement should take on a server that has not answered yet: the
+# users' mean work of 30 ms and their round trips of 0.4, 3 and 16 to 40 ms.
+UNKNOWN_SECONDS = {
+    Distance.DATA_CENTER: 0.030,
+    Distance.REGION: 0.033,
+    Distance.ELSEWHERE: 0.060,
+}
+# Bytes between regions cost our users about as much as 10 ms of latency.
+REGION_PENALTY_SECONDS = 0.010
+
+
+@attrs.frozen
+class Candidate:
+    """A server that may run a read.
+
+    Attributes:
+      server_id: Its name.
+      distance: How far it is.
+      slots: Statements that it runs at once.
+      condition: What is known of it.
+    """
+
+    server_id: str
+    distance: Distance
+    slots: int
+    condition: ServerCondition
+
+
+def choose(
+    candidates: Iterable[Candidate],
+    now: float,
+    needed: Position | None,
+    primary: str | None,
+) -> str | None:
+    """Return the server that should answer first, or None.
+
+    Args:
+      candidates: The servers that may run it.
+      now: The current time in seconds.
+      needed: The position that a replica must have; None if any will do.
+      primary: The candidate that needs no proof of its position, if any.
+    """
+    able = [one for one in candidates if one.condition.avoid_until <= now]
+    fresh = [
+        one
+        for one in able
+        if one.server_id == primary or has_position(one, now, needed)
+    ]
+    if not fresh:
+        return None
+    return min(fresh, key=lambda one: expected_seconds(one, now)).server_id
+
+
+def has_position(
+    candidate: Candidate, now: float, needed: Position | None
+) -> bool:
+    """Return whether a replica is likely to have a position.
+
+    Args:
+      candidate: The replica.
+      now: The current time in seconds.
+      needed: The position.
+    """
+    condition = candidate.condition
+    if needed is None:
+        return True
+    if condition.position is not None and condition.position >= needed:
+        return True
+    return condition.behind_until <= now
+
+
+def expected_seconds(candidate: Candidate, now: float) -> float:
+    """Return how long a read should take at a candidate, in seconds.
+
+    Args:
+      candidate: The server.
+      now: The current time in seconds.
+    """
+    condition = candidate.condition
+    unknown = UNKNOWN_SECONDS[candidate.distance]
+    seconds = condition.expected_seconds(now, unknown)
+    queued = condition.running / max(1, candidate.slots)
+    away = candidate.distance is Distance.ELSEWHERE
+    return seconds * (1.0 + queued) + (REGION_PENALTY_SECONDS if away else 0.0)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
@@ -0,0 +1,101 @@
+"""Claims in the store: who replaces which primary."""
+
+import json
+
+import attrs
+
+from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.seams.metadata_store import (
+    MetadataStore,
+    RowWritten,
+    StoredRow,
+    StoreFailure,
+)
+from jackdawcrank_policy.succession import Claim, next_claim
+
+CLAIMS_TABLE = "succession"
+
+
+class ClaimRows:
+    """Writes claims under the condition that nobody else has.
+
+    Attributes:
+      store: Where the rows lie, one a group.
+      log: Where decisions are told.
+    """
+
+    def __init__(self, store: MetadataStore, log: DecisionLog) -> None:
+        self.store = store
+        self.log = log
+
+    async def claim(
+        self, group: str, holder: str, replaced: str
+    ) -> Claim | None:
+        """Claim the right to replace a primary; None if it is not to be had.
+
+        Args:
+          group: The group.
+          holder: The process that claims.
+          replaced: The primary to replace.
+        """
+        image = await self.store.read_table(CLAIMS_TABLE, group)
+        if isinstance(image, StoreFailure):
+            self.log.event("claim_failed", group=group, detail=image.detail)
+            return None
+        row = image.rows[0] if image.rows else None
+        present = self.read(row) if row else None
+        if row and present is None:
+            return None
+        if present and present.holder == holder and not present.finished:
+            # The answer to this process's own write was lost.
+            return present
+        wanted = next_claim(present, holder, replaced, image.store_seconds)
+        if wanted is None:
+            return None
+        written = await self.store.replace_row(
+            CLAIMS_TABLE, group, dump(wanted), row.revision if row else 0
+        )
+        if isinstance(written, RowWritten):
+            return wanted
+        if isinstance(written, StoreFailure):
+            self.log.event("claim_failed", group=group, detail=written.detail)
+        return None
+
+    async def finish(self, group: str, claim: Claim) -> None:
+        """Let others claim at once after a failed try.
+
+        Args:
+          group: The group.
+          claim: The claim that is done with.
+        """
+        image = await self.store.read_table(CLAIMS_TABLE, group)
+        if isinstance(image, StoreFailure) or not image.rows:
+            return
+        row = image.rows[0]
+        if self.read(row) == claim:
+            await self.store.replace_row(
+                CLAIMS_TABLE,
+                group,
+                dump(attrs.evolve(claim, finished=True)),
+                row.revision,
+            )
+
+    def read(self, row: StoredRow) -> Claim | None:
+        """Return the claim in a row; None if it is unreadable.
+
+        Tokens must not start anew, so nobody acts on an unreadable row.
+        """
+        try:
+            return Claim(**json.loads(row.value))
+        except (TypeError, ValueError) as error:
+            self.log.event("claim_unreadable", key=row.key, detail=str(error))
+            return None
+
+
+def dump(claim: Claim) -> bytes:
+    """Return a claim as stored.
+
+    Args:
+      claim: The claim.
+    """
+    return json.dumps(attrs.asdict(claim)).encode()
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -0,0 +1,318 @@
+"""What this proxy knows and holds of one group."""
+
+import asyncio
+from collections.abc import Iterable
+
+from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.clocks import boot_seconds
+from jackdawcrank.relay.server_lane import OPEN_TIMEOUT_SECONDS, ServerLane
+from jackdawcrank.seams.server_link import LinkOpener, OpenFailure
+from jackdawcrank_policy.catalog import ListedServer, ServedGroup
+from jackdawcrank_policy.floors import FloorHistory
+from jackdawcrank_policy.placement import Candidate, Distance, choose
+from jackdawcrank_policy.succession import Doubt, PrimaryDoubt
+from jackdawcrank_policy.values.position import Position
+
+# A server's connection limit is shared by the proxies, which do not count
+# each other: a tenth each, as callers are spread unevenly over 15 to 27 of
+# them and a full server refuses without harm.
+CONNECTION_SHARE = 10
+MIN_CONNECTIONS = 2
+
+
+class Whereabouts:
+    """Tells how far servers are from this proxy.
+
+    Attributes:
+      data_center: Where this proxy runs.
+      regions: The region of each data centre.
+    """
+
+    def __init__(self, data_center: str, regions: dict[str, str]) -> None:
+        self.data_center = data_center
+        self.regions = regions
+
+    def distance(self, data_center: str) -> Distance:
+        """Return how far a data centre is.
+
+        Args:
+          data_center: The data centre.
+        """
+        if data_center == self.data_center:
+            return Distance.DATA_CENTER
+        here = self.regions.get(self.data_center)
+        if here is not None and self.regions.get(data_center) == here:
+            return Distance.REGION
+        return Distance.ELSEWHERE
+
+
+class GroupRelay:
+    """One group's servers, its primary, and how fresh each server is.
+
+    Attributes:
+      name: The group's name.
+      lanes: The connections by server.
+      floors: Positions that prove freshness.
+      doubt: Evidence against the present primary.
+      primary_id: The present primary, or None while there is none.
+      disowned: Servers that answered that they do not lead, by the revision
+        of the report that claims it.
+      changed: Set and replaced whenever the primary changes.
+    """
+
+    def __init__(
+        self,
+        group: ServedGroup,
+        opener: LinkOpener,
+        whereabouts: Whereabouts,
+        log: DecisionLog,
+    ) -> None:
+        self.group = group
+        self.name = group.name
+        self.opener = opener
+        self.whereabouts = whereabouts
+        self.log = log
+        self.lanes: dict[str, ServerLane] = {}
+        self.floors = FloorHistory()
+        self.doubt = PrimaryDoubt()
+        self.primary_id: str | None = None
+        self.lead_since: dict[str, int] = {}
+        self.disowned: dict[str, int] = {}
+        self.changed = asyncio.Event()
+        self.loop = asyncio.get_running_loop()
+
+    def apply_servers(self, servers: Iterable[ListedServer]) -> None:
+        """Take in the servers that the group has now.
+
+        Args:
+          servers: All of them, as they last reported themselves.
+        """
+        listed = {one.server_id: one for one in servers}
+        for server_id, lane in list(self.lanes.items()):
+            server = listed.get(server_id)
+            if server is None or not server.same_process(lane.server):
+                lane.retire()
+                del self.lanes[server_id]
+                self.lead_since.pop(server_id, None)
+                self.log.event(
+                    "server_gone", group=self.name, server=server_id
+                )
+        for server in listed.values():
+            self.apply_server(server)
+        self.settle_primary()
+
+    def apply_server(self, server: ListedServer) -> None:
+        """Take in one server's report.
+
+        Args:
+          server: The report.
+        """
+        lane = self.lanes.get(server.server_id)
+        if lane is None:
+            lane = ServerLane(
+                server, self.opener, self.connection_limit(), self.log
+            )
+            self.lanes[server.server_id] = lane
+            self.log.event(
+                "server_listed",
+                group=self.name,
+                server=server.server_id,
+                leads=server.claims_lead,
+                leaving=server.leaving,
+                revision=server.revision,
+            )
+        elif lane.server != server:
+            self.log.event(
+                "server_reported",
+                group=self.name,
+                server=server.server_id,
+                leads=server.claims_lead,
+                leaving=server.leaving,
+                revision=server.revision,
+            )
+        lane.server = server
+        if not server.claims_lead:
+            self.lead_since.pop(server.server_id, None)
+        else:
+            self.lead_since.setdefault(server.server_id, server.revision)
+
+    def connection_limit(self) -> int:
+        """Return the connections of one server that this proxy may hold."""
+        share = self.group.connection_limit // CONNECTION_SHARE
+        return max(MIN_CONNECTIONS, share)
+
+    def settle_primary(self) -> None:
+        """Decide which server leads, from reports and answers."""
+        claims = [
+            (since, server_id)
+            for server_id, since in self.lead_since.items()
+            if self.disowned.get(server_id) != self.revision(server_id)
+        ]
+        primary = max(claims)[1] if claims else None
+        self.set_primary(primary)
+
+    def revision(self, server_id: str) -> int:
+        """Return the revision of a server's report.
+
+        Args:
+          server_id: A listed server.
+        """
+        return self.lanes[server_id].server.revision
+
+    def set_primary(self, server_id: str | None) -> None:
+        """Make a server the present primary.
+
+        Args:
+          server_id: The server; None if there is none.
+        """
+        if server_id == self.primary_id:
+            return
+        self.log.event(
+            "primary_changed",
+            group=self.name,
+            old=self.primary_id,
+            new=server_id,
+        )
+        self.primary_id = server_id
+        self.doubt = PrimaryDoubt()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def promoted(self, server_id: str) -> None:
+        """Take in that the authority named a new primary.
+
+        Args:
+          server_id: The new primary.
+        """
+        if server_id not in self.lanes:
+            return
+        newest = max(self.lead_since.values(), default=0)
+        self.lead_since[server_id] = newest + 1
+        self.disowned.pop(server_id, None)
+        self.settle_primary()
+
+    def disown(self, lane: ServerLane) -> None:
+        """Take in that a server answered that it does not lead.
+
+        Args:
+          lane: Its connections.
+        """
+        server = lane.server
+        self.log.event(
+            "not_primary",
+            group=self.name,
+            server=server.server_id,
+            revision=server.revision,
+        )
+        self.disowned[server.server_id] = server.revision
+        self.lead_since.pop(server.server_id, None)
+        self.settle_primary()
+
+    def primary_lane(self) -> ServerLane | None:
+        """Return the connections of the present primary, or None."""
+        return self.lanes.get(self.primary_id) if self.primary_id else None
+
+    async def wait_for_primary(self, deadline: float) -> ServerLane | None:
+        """Return a primary's lane, waiting while one is being replaced.
+
+        Args:
+          deadline: When to give up, in seconds on the loop's clock.
+        """
+        while True:
+            lane = self.primary_lane()
+            now = self.loop.time()
+            if lane and self.doubt.verdict(now) in (
+                Doubt.NONE,
+                Doubt.UNCONFIRMED,
+            ):
+                return lane
+            changed = self.changed
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await changed.wait()
+            except TimeoutError:
+                return None
+
+    def note_lost(
+        self,
+        lane: ServerLane,
+        silent: bool,
+        sent_at: float,
+        wrote: bool = False,
+    ) -> None:
+        """Take in a statement whose answer did not come.
+
+        Args:
+          lane: Where it was sent.
+          silent: Whether the connection stood all the while.
+          sent_at: When it was sent, in seconds on the loop's clock.
+          wrote: Whether it waited for replicas to confirm a commit.
+        """
+        if lane is not self.primary_lane():
+            return
+        if not silent:
+            self.doubt.was_refused(self.loop.time())
+        elif wrote:
+            self.doubt.was_unconfirmed(sent_at)
+        else:
+            self.doubt.was_silent(sent_at)
+
+    def note_unreachable(self, lane: ServerLane, failure: OpenFailure) -> None:
+        """Take in that no connection could be made.
+
+        Args:
+          lane: Where to.
+          failure: Why not.
+        """
+        if lane is not self.primary_lane():
+            return
+        now = self.loop.time()
+        if failure is OpenFailure.SILENT:
+            self.doubt.was_silent(now - OPEN_TIMEOUT_SECONDS)
+        elif failure is not OpenFailure.FULL:
+            self.doubt.was_refused(now)
+
+    def read_lane(
+        self, now: float, needed: Position | None, excluded: set[str]
+    ) -> ServerLane | None:
+        """Return where a read with a position should go, or None.
+
+        Args:
+          now: The current time in seconds on the loop's clock.
+          needed: The position that the server must have.
+          excluded: Servers that have failed this read.
+        """
+        chosen = choose(
+            [
+                self.candidate(lane)
+                for lane in self.lanes.values()
+                if not lane.server.leaving
+                and lane.server.server_id not in excluded
+            ],
+            now,
+            needed,
+            self.primary_id,
+        )
+        return self.lanes[chosen] if chosen else None
+
+    def candidate(self, lane: ServerLane) -> Candidate:
+        """Return a lane's server as the placement sees it.
+
+        Args:
+          lane: The lane.
+        """
+        return Candidate(
+            lane.server.server_id,
+            self.whereabouts.distance(lane.server.data_center),
+            lane.server.slots,
+            lane.condition,
+        )
+
+    def floor(self, max_age: float) -> Position | None:
+        """Return a position that proves an age, or None.
+
+        Args:
+          max_age: The greatest age in seconds.
+        """
+        floor = self.floors.oldest_within(boot_seconds(), max_age)
+        return floor.position if floor else None
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -0,0 +1,435 @@
+"""Replacing the primary of one group."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.await_reply import await_reply
+from jackdawcrank.relay.claim_rows import ClaimRows
+from jackdawcrank.relay.group_relay import GroupRelay
+from jackdawcrank.relay.server_lane import ServerLane
+from jackdawcrank.seams.commands import (
+    AskStatus,
+    Command,
+    Freeze,
+    StepDown,
+    Thaw,
+)
+from jackdawcrank.seams.lead_authority import LeadAnswer, LeadAuthority
+from jackdawcrank.seams.replies import Reply, ServerStatus
+from jackdawcrank.seams.server_link import NotOpened
+from jackdawcrank_policy.succession import (
+    Claim,
+    Doubt,
+    FrozenServer,
+    NoSuccessor,
+    choose_successor,
+)
+from jackdawcrank_policy.values.position import Position
+
+# A question to a server in doubt: above the farthest round trip (80 ms) and
+# a full server's handshake (27 ms), well below the time that a change of
+# primary may take.
+QUESTION_SECONDS = 0.6
+# Proxies that notice the same loss wait a random time, so that one of them
+# claims it and the others see that.
+SPREAD_SECONDS = 0.25
+# After a failed try: servers and authority need time to come back.
+RETRY_SECONDS = 0.7
+# A group without a primary may have one whose report is on its way.
+NO_PRIMARY_SECONDS = 1.0
+# Time for a replica to receive what the leaving primary has; its lag in
+# receiving is a network's delay.
+CATCH_UP_SECONDS = 2.0
+POLL_SECONDS = 0.05
+# An order without an answer is repeated until somebody else holds the claim.
+ORDER_SECONDS = 8.0
+
+
+Work = Coroutine[Any, Any, None]
+
+
+@attrs.frozen
+class Questioned:
+    """What a server answered to a control command.
+
+    Attributes:
+      status: What it said of itself; None if it did not answer.
+    """
+
+    lane: ServerLane
+    status: ServerStatus | None
+
+
+class GroupSuccession:
+    """Watches one group's primary and replaces it when it is lost or leaves.
+
+    Attributes:
+      group: The group.
+      vm: This proxy's VM.
+      process: This proxy process, by a name that no other one has.
+      running: Whether a replacement or a question is under way.
+      primary_missing_since: Since when there has been no primary.
+      not_before: When the next try may begin.
+    """
+
+    def __init__(
+        self,
+        group: GroupRelay,
+        vm: str,
+        process: str,
+        claims: ClaimRows,
+        authority: LeadAuthority,
+        log: DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self.group = group
+        self.vm = vm
+        self.process = process
+        self.claims = claims
+        self.authority = authority
+        self.log = log
+        self.rng = rng
+        self.running = False
+        self.primary_missing_since: float | None = None
+        self.not_before = 0.0
+        self.loop = asyncio.get_running_loop()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def check(self) -> None:
+        """Begin whatever the group needs now."""
+        if self.running or self.loop.time() < self.not_before:
+            return
+        reason = self.reason()
+        if reason is not None:
+            self.begin(self.replace(reason))
+        elif self.group.doubt.any() and self.group.primary_lane():
+            self.begin(self.question_primary())
+
+    def begin(self, work: Work) -> None:
+        """Run one piece of work; the next check waits for it."""
+        self.running = True
+        task = self.loop.create_task(self.guard(work))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def guard(self, work: Work) -> None:
+        """Finish a piece of work, whatever it raises."""
+        try:
+            await work
+        finally:
+            self.running = False
+
+    async def close(self) -> None:
+        """Stop; a claim in force runs out by itself."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def reason(self) -> str | None:
+        """Return why the primary must be replaced, or None."""
+        now = self.loop.time()
+        lane = self.group.primary_lane()
+        if lane is None:
+            if not self.group.lanes:
+                return None
+            if self.primary_missing_since is None:
+                self.primary_missing_since = now
+            missing = now - self.primary_missing_since
+            return "missing" if missing >= NO_PRIMARY_SECONDS else None
+        self.primary_missing_since = None
+        if lane.server.leaving:
+            return "leaving"
+        doubt = self.group.doubt.verdict(now)
+        return None if doubt is Doubt.NONE else doubt.value
+
+    async def question_primary(self) -> None:
+        """Find out whether a primary in doubt answers."""
+        lane = self.group.primary_lane()
+        if lane is None:
+            return
+        start = self.loop.time()
+        answered = await self.ask(lane, AskStatus())
+        if lane is not self.group.primary_lane():
+            return
+        if answered.status is None:
+            await asyncio.sleep(POLL_SECONDS)
+            return
+        self.group.doubt.answered()
+        if not answered.status.leads:
+            self.group.disown(lane)
+        self.not_before = start + 2 * POLL_SECONDS
+
+    async def ask(self, lane: ServerLane, command: Command) -> Questioned:
+        """Send a control command over a connection of its own.
+
+        Args:
+          lane: The server's connections.
+          command: The command.
+        """
+        deadline = self.loop.time() + QUESTION_SECONDS
+        link = await lane.opener.open(lane.server, QUESTION_SECONDS)
+        if isinstance(link, NotOpened):
+            self.group.note_unreachable(lane, link.failure)
+            return Questioned(lane, None)
+        try:
+            start = self.loop.time()
+            [future] = link.send([command])
+            reply = await await_reply(future, deadline + QUESTION_SECONDS)
+            if reply is None:
+                self.group.note_lost(lane, not link.closed, start)
+                return Questioned(lane, None)
+            return Questioned(lane, self.status(link.status_of(reply), reply))
+        finally:
+            link.close()
+
+    def status(
+        self, status: ServerStatus | None, reply: Reply
+    ) -> ServerStatus | None:
+        """Return a status, logging an answer that holds none."""
+        if status is None:
+            self.log.event(
+                "status_refused",
+                group=self.group.name,
+                problem=reply.problem.value if reply.problem else "",
+                detail=reply.detail,
+            )
+        return status
+
+    async def ask_all(
+        self, lanes: list[ServerLane], command: Command
+    ) -> list[Questioned]:
+        """Send a control command to several servers at once."""
+        return await asyncio.gather(*(self.ask(one, command) for one in lanes))
+
+    async def replace(self, reason: str) -> None:
+        """Replace the primary, if nobody else does.
+
+        Args:
+          reason: Why.
+        """
+        await asyncio.sleep(self.rng.uniform(0.0, SPREAD_SECONDS))
+        if self.reason() is None:
+            return
+        old = self.group.primary_lane()
+        old_id = old.server.server_id if old else ""
+        if reason == Doubt.UNCONFIRMED.value and await self.keeps_up():
+            self.group.doubt.confirmed()
+            return
+        claim = await self.claims.claim(
+            self.group.name, self.process, old_id
+        )
+        if claim is None:
+            self.not_before = self.loop.time() + RETRY_SECONDS
+            return
+        self.log.event(
+            "replacing_primary",
+            group=self.group.name,
+            old=old_id,
+            reason=reason,
+            token=claim.token,
+        )
+        done = False
+        if reason == "leaving" and old is not None:
+            done = await self.hand_over(claim, old)
+        else:
+            done = await self.take_over(claim, old)
+        if not done:
+            self.not_before = self.loop.time() + RETRY_SECONDS
+            await self.claims.finish(self.group.name, claim)
+
+    async def keeps_up(self) -> bool:
+        """Return whether a replica has received what the primary had."""
+        primary = self.group.primary_lane()
+        if primary is None:
+            return False
+        first = await self.ask(primary, AskStatus())
+        if first.status is None:
+            return False
+        replicas = self.replicas(primary)
+        answers = await self.ask_all(replicas, AskStatus())
+        return any(
+            one.status is not None
+            and one.status.received >= first.status.received
+            for one in answers
+        )
+
+    def replicas(self, primary: ServerLane | None) -> list[ServerLane]:
+        """Return the lanes of all servers but one."""
+        return [one for one in self.group.lanes.values() if one is not primary]
+
+    def next_term(self) -> int:
+        """Return a term above every one that this proxy knows of."""
+        terms = [
+            one.condition.position.term
+            for one in self.group.lanes.values()
+            if one.condition.position
+        ]
+        newest = self.group.floors.newest()
+        if newest:
+            terms.append(newest.position.term)
+        return max(terms, default=0) + 1
+
+    async def take_over(self, claim: Claim, old: ServerLane | None) -> bool:
+        """Freeze the replicas and promote the most advanced one.
+
+        Args:
+          claim: The right to do so.
+          old: The lost primary, if there is one.
+        """
+        replicas = self.replicas(old)
+        answers = await self.ask_all(replicas, AskStatus())
+        term = max(
+            [self.next_term()]
+            + [one.status.term + 1 for one in answers if one.status]
+        )
+        answers = await self.ask_all(replicas, Freeze(term))
+        choice = choose_successor(
+            [
+                FrozenServer(
+                    one.lane.server.server_id,
+                    one.status.received,
+                    one.lane.server.leaving,
+                    self.group.whereabouts.distance(
+                        one.lane.server.data_center
+                    ),
+                )
+                for one in answers
+                if one.status is not None
+            ],
+            [one.server.server_id for one in replicas],
+            self.group.group.confirming_replicas,
+        )
+        if isinstance(choice, NoSuccessor):
+            self.log.event(
+                "no_successor",
+                group=self.group.name,
+                missing=choice.missing,
+                token=claim.token,
+            )
+            await self.stand_down(claim, old, answers)
+            return False
+        self.log.event(
+            "successor_chosen",
+            group=self.group.name,
+            server=choice.server_id,
+            position=str(choice.position),
+            token=claim.token,
+            term=term,
+        )
+        return await self.order(claim, choice.server_id, answers)
+
+    async def stand_down(
+        self,
+        claim: Claim,
+        old: ServerLane | None,
+        frozen: list[Questioned],
+    ) -> None:
+        """Let replicas receive again, once no older order can be obeyed."""
+        if old is not None:
+            answer = await self.authority.promote(
+                self.group.name, old.server.server_id, self.vm, claim.token
+            )
+            if answer in (LeadAnswer.UNANSWERED, LeadAnswer.UNAVAILABLE):
+                # An order of an earlier claim may still be carried out; it
+                # would lose what is acknowledged from now on.
+                return
+        await self.thaw(frozen)
+
+    async def thaw(self, frozen: list[Questioned]) -> None:
+        """Let frozen replicas receive again."""
+        await self.ask_all(
+            [one.lane for one in frozen if one.status is not None], Thaw()
+        )
+
+    async def order(
+        self, claim: Claim, server_id: str, frozen: list[Questioned]
+    ) -> bool:
+        """Have a server promoted; repeat the order until it is answered.
+
+        Args:
+          claim: The right to do so.
+          server_id: The server.
+          frozen: The replicas that wait for the new primary.
+        """
+        give_up_at = self.loop.time() + ORDER_SECONDS
+        while True:
+            answer = await self.authority.promote(
+                self.group.name, server_id, self.vm, claim.token
+            )
+            self.log.event(
+                "promotion_ordered",
+                group=self.group.name,
+                server=server_id,
+                token=claim.token,
+                answer=answer.value,
+            )
+            if answer is LeadAnswer.DONE:
+                self.group.promoted(server_id)
+                rest = [
+                    one
+                    for one in frozen
+                    if one.lane.server.server_id != server_id
+                ]
+                await self.thaw(rest)
+                return True
+            if answer is LeadAnswer.REFUSED:
+                return False
+            if self.loop.time() >= give_up_at:
+                return False
+            await asyncio.sleep(2 * POLL_SECONDS)
+
+    async def hand_over(self, claim: Claim, old: ServerLane) -> bool:
+        """Move the lead of a primary that is shutting down.
+
+        Args:
+          claim: The right to do so.
+          old: The leaving primary.
+        """
+        staying = [
+            one for one in self.replicas(old) if not one.server.leaving
+        ]
+        answers = await self.ask_all(staying, AskStatus())
+        if not any(one.status for one in answers):
+            self.log.event("no_successor", group=self.group.name, missing=())
+            return False
+        terms = [one.status.term + 1 for one in answers if one.status]
+        term = max([self.next_term(), *terms])
+        stepped = await self.ask(old, StepDown(term))
+        if stepped.status is None:
+            return await self.take_over(claim, old)
+        final = stepped.status.received
+        server_id = await self.wait_for_position(staying, final)
+        if server_id is None:
+            self.log.event(
+                "hand_over_undone", group=self.group.name, position=str(final)
+            )
+            server_id = old.server.server_id
+        return await self.order(claim, server_id, [])
+
+    async def wait_for_position(
+        self, lanes: list[ServerLane], position: Position
+    ) -> str | None:
+        """Return the first server that has received a position, or None."""
+        give_up_at = self.loop.time() + CATCH_UP_SECONDS
+        while self.loop.time() < give_up_at:
+            answers = await self.ask_all(lanes, AskStatus())
+            able = [
+                one.lane
+                for one in answers
+                if one.status and one.status.received >= position
+            ]
+            if able:
+                nearest = min(
+                    able,
+                    key=lambda one: self.group.whereabouts.distance(
+                        one.server.data_center
+                    ),
+                )
+                return nearest.server.server_id
+            await asyncio.sleep(POLL_SECONDS)
+        return None
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -0,0 +1,200 @@
+"""A transaction on its own server connection."""
+
+import asyncio
+import typing
+
+from jackdawcrank.relay.await_reply import await_reply
+from jackdawcrank.relay.clocks import boot_seconds
+from jackdawcrank.relay.execution import (
+    Execution,
+    forward_command,
+    setup_commands,
+)
+from jackdawcrank.relay.server_lane import ServerLane
+from jackdawcrank.seams.commands import ForwardCommit, UndoTransaction
+from jackdawcrank.seams.replies import Problem, Reply
+from jackdawcrank.seams.server_link import ServerLink
+
+if typing.TYPE_CHECKING:
+    from jackdawcrank.relay.caller_session import CallerSession
+    from jackdawcrank.relay.group_relay import GroupRelay
+
+# A rollback needs no slot; a server that does not answer it is silent.
+UNDO_SECONDS = 1.0
+
+
+class OpenTransaction:
+    """Keeps a connection for a transaction until it ends.
+
+    Attributes:
+      group: The group that it runs on.
+      lane: The connections that the link belongs to.
+      link: The connection.
+      on_primary: Whether the server must lead for a statement to succeed.
+      wrote: Whether a write was sent.
+      ended: Whether the link was given back.
+    """
+
+    def __init__(
+        self,
+        group: "GroupRelay",
+        lane: ServerLane,
+        link: ServerLink,
+        on_primary: bool,
+        timeout_seconds: float,
+    ) -> None:
+        self.group = group
+        self.lane = lane
+        self.link = link
+        self.on_primary = on_primary
+        self.timeout_seconds = timeout_seconds
+        self.wrote = False
+        self.ended = False
+        self.loop = asyncio.get_running_loop()
+
+    async def run(self, session: "CallerSession", execution: Execution) -> Reply:
+        """Run a statement of the transaction.
+
+        Args:
+          session: Whose transaction it is.
+          execution: The statement.
+        """
+        self.wrote = self.wrote or execution.writes
+        commands = setup_commands(self.link, session.memory, execution)
+        commands.append(forward_command(self.link, execution))
+        sent_at = boot_seconds()
+        start = self.loop.time()
+        futures = self.link.send(commands)
+        reply = await await_reply(futures[-1], start + self.timeout_seconds)
+        if reply is None:
+            return self.lost(execution.request_id, start)
+        self.answered(sent_at, start, reply)
+        return reply
+
+    def answered(self, sent_at: float, start: float, reply: Reply) -> None:
+        """Take in a server's answer."""
+        condition = self.lane.condition
+        condition.showed(reply.position)
+        if reply.problem is Problem.NOT_PRIMARY:
+            self.group.disown(self.lane)
+        elif reply.problem is None:
+            condition.answered(self.loop.time() - start, self.loop.time())
+            if self.on_primary:
+                # The server refuses every statement of such a transaction
+                # once it has lost the lead.
+                if reply.position:
+                    self.group.floors.learn(sent_at, reply.position)
+                self.group.doubt.answered()
+
+    def lost(self, request_id: str, start: float) -> Reply:
+        """Give up a statement without an answer; nothing was committed."""
+        silent = not self.link.closed
+        self.group.note_lost(self.lane, silent, start)
+        self.group.log.event(
+            "transaction_lost",
+            request=request_id,
+            group=self.group.name,
+            server=self.lane.server.server_id,
+            silent=silent,
+            waited=round(self.loop.time() - start, 3),
+        )
+        self.drop()
+        return Reply(
+            problem=Problem.ROLLED_BACK,
+            detail="the server did not answer; the transaction is rolled back",
+        )
+
+    async def commit(self, session: "CallerSession", request_id: str) -> Reply:
+        """Commit, and give the connection back.
+
+        Args:
+          session: Whose transaction it is.
+          request_id: The caller's id of the commit.
+        """
+        start = self.loop.time()
+        sent_at = boot_seconds()
+        [future] = self.link.send([ForwardCommit(request_id)])
+        reply = await await_reply(future, start + self.timeout_seconds)
+        if reply is None:
+            return self.commit_lost(request_id, start)
+        self.release()
+        self.lane.condition.showed(reply.position)
+        if reply.problem is None and self.wrote:
+            session.saw(reply.position)
+            self.group.doubt.confirmed()
+            if reply.position:
+                self.group.floors.learn(sent_at, reply.position)
+        elif reply.problem is Problem.NOT_PRIMARY:
+            self.group.disown(self.lane)
+        return reply
+
+    def commit_lost(self, request_id: str, start: float) -> Reply:
+        """Give up a commit without an answer."""
+        if not self.wrote:
+            return self.lost(request_id, start)
+        silent = not self.link.closed
+        self.group.note_lost(self.lane, silent, start, wrote=True)
+        self.group.log.event(
+            "commit_in_doubt",
+            request=request_id,
+            group=self.group.name,
+            server=self.lane.server.server_id,
+            silent=silent,
+            waited=round(self.loop.time() - start, 3),
+        )
+        self.drop()
+        return Reply(
+            problem=Problem.IN_DOUBT,
+            detail="the server did not answer the commit",
+        )
+
+    def undo(self) -> None:
+        """Roll back, and give the connection back once that is done."""
+        if self.ended:
+            return
+        if self.link.closed:
+            self.drop()
+            return
+        self.ended = True
+        give_back_after(
+            self.lane, self.link, self.link.send([UndoTransaction()])[0]
+        )
+
+    def release(self) -> None:
+        """Give the connection back."""
+        if not self.ended:
+            self.ended = True
+            self.lane.condition.running -= 1
+            self.lane.release(self.link)
+
+    def drop(self) -> None:
+        """Close the connection; the server rolls back what is open."""
+        if not self.ended:
+            self.ended = True
+            self.lane.condition.running -= 1
+            self.lane.discard(self.link)
+
+
+def give_back_after(
+    lane: ServerLane, link: ServerLink, future: asyncio.Future[Reply]
+) -> None:
+    """Give a connection back when its last command is answered.
+
+    Args:
+      lane: The connections that it belongs to.
+      link: The connection.
+      future: The reply to the last command.
+    """
+    loop = asyncio.get_running_loop()
+    timeout = loop.call_later(UNDO_SECONDS, link.close)
+
+    def finish(done: asyncio.Future[Reply]) -> None:
+        timeout.cancel()
+        lane.condition.running -= 1
+        lost = done.cancelled() or done.exception() is not None
+        if lost:
+            lane.discard(link)
+        else:
+            lane.release(link)
+
+    future.add_done_callback(finish)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -0,0 +1,148 @@
+"""A proxy process that relays sessions to fenced groups."""
+
+import asyncio
+import os
+import random
+
+from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.caller_session import CallerSession
+from jackdawcrank.relay.claim_rows import ClaimRows
+from jackdawcrank.relay.directory import Directory
+from jackdawcrank.relay.group_relay import Whereabouts
+from jackdawcrank.relay.idle_transactions import IdleTransactions
+from jackdawcrank.relay.lane_care import LaneCare
+from jackdawcrank.relay.leaving import Leaving
+from jackdawcrank.relay.relay_settings import RelaySettings
+from jackdawcrank.relay.statement_runner import StatementRunner
+from jackdawcrank.relay.succession_service import SuccessionService
+from jackdawcrank.relay.table_follower import TableFollower
+from jackdawcrank.seams.caller_front import CallerFront
+from jackdawcrank.seams.declaration_source import DeclarationFormat
+from jackdawcrank.seams.lead_authority import LeadAuthority
+from jackdawcrank.seams.metadata_store import MetadataStore
+from jackdawcrank.seams.server_link import LinkOpener
+from jackdawcrank.timer import TimerService
+
+# Callers give up on connecting after 2 s.
+FIRST_CONFIGURATION_SECONDS = 1.8
+# A wait for declarations, so that a connection that fell silent is noticed
+# within the bound of a configuration (3 s at least).
+DECLARATIONS_WAIT_SHARE = 0.75
+# Leaving servers may be given work for 7 s or more.
+SERVERS_WAIT_SHARE = 0.6
+
+
+class RelayProxy:
+    """Owns the parts of the process.
+
+    Attributes:
+      settings: The process's settings.
+      directory: Declarations, groups and servers.
+      front: Accepts callers.
+      leaving: Ends the process in order.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        store: MetadataStore,
+        form: DeclarationFormat,
+        opener: LinkOpener,
+        authority: LeadAuthority,
+        front: CallerFront,
+        log: DecisionLog,
+    ) -> None:
+        rng = random.Random()
+        self.settings = settings
+        self.log = log
+        self.front = front
+        self.timer = TimerService()
+        self.directory = Directory(
+            form,
+            opener,
+            Whereabouts(settings.data_center, settings.regions),
+            log,
+        )
+        self.runner = StatementRunner(self.directory, log)
+        self.followers = [
+            TableFollower(
+                store,
+                form.declarations_table,
+                settings.configuration_seconds * DECLARATIONS_WAIT_SHARE,
+                self.directory.declarations_read,
+                self.directory.declarations_changed,
+                log,
+                rng,
+            ),
+            TableFollower(
+                store,
+                form.servers_table,
+                settings.drain_seconds * SERVERS_WAIT_SHARE,
+                self.directory.servers_read,
+                self.directory.servers_changed,
+                log,
+                rng,
+            ),
+        ]
+        # A restarted process must not take its predecessor's claim for its
+        # own.
+        process = f"{settings.vm}-{os.getpid()}-{rng.getrandbits(32):08x}"
+        self.succession = SuccessionService(
+            self.directory,
+            settings.vm,
+            process,
+            ClaimRows(store, log),
+            authority,
+            log,
+            rng,
+        )
+        self.lane_care = LaneCare(self.directory)
+        self.idle_transactions = IdleTransactions(self.directory, front, log)
+        self.leaving = Leaving(front, settings.stop_grace_seconds, log)
+
+    async def start(self) -> None:
+        """Begin to follow the store and to accept callers."""
+        self.log.event("started", data_center=self.settings.data_center)
+        await self.timer.start()
+        await self.log.start(self.timer)
+        for follower in self.followers:
+            await follower.start()
+        await self.front.start(self)
+        await self.lane_care.start(self.timer)
+        await self.idle_transactions.start(self.timer)
+        await self.succession.start(self.timer)
+
+    async def open_session(self, database: str) -> CallerSession | None:
+        """Return a session; None if the database is not declared.
+
+        Args:
+          database: What the caller named.
+
+        Raises:
+          TimeoutError: The declarations have not been read yet.
+        """
+        async with asyncio.timeout(FIRST_CONFIGURATION_SECONDS):
+            await self.directory.ready.wait()
+        if self.directory.resolve(database) is None:
+            return None
+        return CallerSession(database, self.runner)
+
+    def readiness(self) -> bool:
+        """Return whether new callers should be sent here."""
+        return self.directory.ready.is_set() and not self.leaving.begun
+
+    async def stop(self) -> None:
+        """Leave: let what is under way end, then close."""
+        await self.leaving.leave()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close every part."""
+        await self.succession.close()
+        await self.front.close()
+        for follower in self.followers:
+            await follower.close()
+        await self.directory.close()
+        self.log.event("stopped")
+        await self.log.close()
+        await self.timer.close()
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -0,0 +1,238 @@
+"""The connections of this proxy to one backend server."""
+
+import asyncio
+
+import attrs
+
+from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.seams.server_link import (
+    LinkOpener,
+    NotOpened,
+    OpenFailure,
+    ServerLink,
+)
+from jackdawcrank_policy.catalog import ListedServer
+from jackdawcrank_policy.placement import ServerCondition
+from jackdawcrank_policy.sessions import SessionMemory
+from jackdawcrank_policy.waiting import WaitingLine
+
+# Above a round trip between regions (40 ms) twice, a handshake behind a full
+# server (27 ms each) and a delayed packet.
+OPEN_TIMEOUT_SECONDS = 1.0
+# Connections unused for this long are given back to other proxies.
+IDLE_SECONDS = 12.0
+# After a server was full, wait for others to give connections back.
+FULL_PAUSE_SECONDS = 0.25
+
+Granted = ServerLink | NotOpened
+
+
+@attrs.frozen
+class IdleLink:
+    """A connection that nobody uses.
+
+    Attributes:
+      link: The connection.
+      since: Since when, in seconds on the loop's clock.
+    """
+
+    link: ServerLink
+    since: float
+
+
+class ServerLane:
+    """Lends connections of one server to sessions, the most urgent first.
+
+    Attributes:
+      server: The server, as it last reported itself.
+      limit: Connections that this proxy may hold.
+      condition: What this proxy knows of the server.
+      idle: Connections that nobody uses, the latest used last.
+      count: Connections that are open or being opened.
+      line: Who waits for one.
+      retired: Whether the server is gone.
+    """
+
+    def __init__(
+        self,
+        server: ListedServer,
+        opener: LinkOpener,
+        limit: int,
+        log: DecisionLog,
+    ) -> None:
+        self.server = server
+        self.opener = opener
+        self.limit = limit
+        self.log = log
+        self.condition = ServerCondition()
+        self.idle: list[IdleLink] = []
+        self.count = 0
+        self.opening = 0
+        self.full_until = 0.0
+        self.line: WaitingLine[asyncio.Future[Granted]] = WaitingLine()
+        self.retired = False
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.loop = asyncio.get_running_loop()
+
+    async def acquire(
+        self, memory: SessionMemory, priority: int, deadline: float
+    ) -> Granted:
+        """Return a connection, waiting for one if all are in use.
+
+        Args:
+          memory: What the session has set up; a fitting connection is
+            preferred.
+          priority: 0 goes first.
+          deadline: When to give up, in seconds on the loop's clock.
+        """
+        link = self.take_idle(memory)
+        if link is not None:
+            return link
+        granted: asyncio.Future[Granted] = self.loop.create_future()
+        place = self.line.join(priority, deadline, granted)
+        self.open_more()
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await granted
+        except TimeoutError:
+            if granted.done() and not granted.cancelled():
+                return granted.result()
+            return NotOpened(OpenFailure.FULL, "all connections are in use")
+        finally:
+            self.line.leave(place)
+
+    def take_idle(self, memory: SessionMemory) -> ServerLink | None:
+        """Return the idle connection that fits a session best, or None."""
+        while self.idle:
+            best = min(
+                range(len(self.idle)),
+                key=lambda index: (
+                    self.idle[index].link.memory.mismatch(memory),
+                    -index,
+                ),
+            )
+            link = self.idle.pop(best).link
+            if not link.closed:
+                return link
+            self.count -= 1
+        return None
+
+    def release(self, link: ServerLink) -> None:
+        """Give a connection back that is in no transaction.
+
+        Args:
+          link: The connection.
+        """
+        if link.closed or self.retired or self.count > self.limit:
+            self.discard(link)
+            return
+        now = self.loop.time()
+        while (place := self.line.pop(now)) is not None:
+            if not place.item.done():
+                place.item.set_result(link)
+                return
+        self.idle.append(IdleLink(link, now))
+
+    def discard(self, link: ServerLink) -> None:
+        """Close a connection that cannot be used again.
+
+        Args:
+          link: The connection.
+        """
+        link.close()
+        self.count -= 1
+        self.open_more()
+
+    def warm(self, count: int) -> None:
+        """Open connections ahead of the first statement.
+
+        Args:
+          count: How many there should be at least.
+        """
+        for _ in range(min(count, self.limit) - self.count):
+            self.begin_open()
+
+    def open_more(self) -> None:
+        """Open as many connections as are waited for and allowed."""
+        if self.retired or self.loop.time() < self.full_until:
+            return
+        while self.opening < self.line.length and self.count < self.limit:
+            self.begin_open()
+
+    def begin_open(self) -> None:
+        """Open one connection."""
+        self.count += 1
+        self.opening += 1
+        task = self.loop.create_task(self.open_one())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def open_one(self) -> None:
+        """Open one connection and hand it to whoever waits."""
+        outcome: Granted = NotOpened(OpenFailure.REFUSED, "closing")
+        try:
+            outcome = await self.opener.open(self.server, OPEN_TIMEOUT_SECONDS)
+        finally:
+            self.opening -= 1
+            if isinstance(outcome, NotOpened):
+                self.count -= 1
+        if isinstance(outcome, NotOpened):
+            self.not_opened(outcome)
+        else:
+            self.condition.showed(outcome.first_position)
+            self.release(outcome)
+
+    def not_opened(self, outcome: NotOpened) -> None:
+        """Tell whoever waits that there is no connection.
+
+        Args:
+          outcome: Why.
+        """
+        now = self.loop.time()
+        self.log.event(
+            "connection_failed",
+            server=self.server.server_id,
+            group=self.server.group,
+            reason=outcome.failure.value,
+            detail=outcome.detail,
+            held=self.count,
+        )
+        if outcome.failure is OpenFailure.FULL:
+            self.full_until = now + FULL_PAUSE_SECONDS
+            self.loop.call_later(FULL_PAUSE_SECONDS, self.open_more)
+            if self.count:
+                return
+        else:
+            self.condition.failed(now)
+        for waiting in self.line.clear():
+            if not waiting.done():
+                waiting.set_result(outcome)
+
+    def trim(self, keep: int) -> None:
+        """Close connections that nobody has used for a while.
+
+        Args:
+          keep: How many to keep all the same.
+        """
+        oldest = self.loop.time() - IDLE_SECONDS
+        while len(self.idle) > keep and self.idle[0].since < oldest:
+            self.discard(self.idle.pop(0).link)
+        alive = [one for one in self.idle if not one.link.closed]
+        self.count -= len(self.idle) - len(alive)
+        self.idle = alive
+
+    def drop_idle(self) -> None:
+        """Close every connection that nobody uses."""
+        for one in self.idle:
+            one.link.close()
+        self.count -= len(self.idle)
+        self.idle.clear()
+
+    def retire(self) -> None:
+        """Take no new work; connections in use end with their work."""
+        self.retired = True
+        self.drop_idle()
+        gone = NotOpened(OpenFailure.WRONG_SERVER, "the server has left")
+        for waiting in self.line.clear():
+            if not waiting.done():
+                waiting.set_result(gone)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -0,0 +1,123 @@
+"""Following a table of the store through its troubles."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.seams.metadata_store import (
+    HistoryGone,
+    MetadataStore,
+    StoredRow,
+    StoreFailure,
+    TableChanges,
+)
+from jackdawcrank_policy.retry.backoff import backoff_seconds
+
+# A store that is back must be noticed well within the bound of a
+# configuration (3 s).
+LONGEST_PAUSE_SECONDS = 0.5
+FIRST_PAUSE_SECONDS = 0.1
+
+
+class TableFollower:
+    """Reads a table and then its changes, for as long as the proxy runs.
+
+    Attributes:
+      table: The table.
+      revision: The store's version up to which changes are known.
+      connected: Whether the store answered last time.
+    """
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        table: str,
+        wait_seconds: float,
+        on_image: Callable[[tuple[StoredRow, ...]], None],
+        on_changes: Callable[[TableChanges], None],
+        log: DecisionLog,
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.table = table
+        self.wait_seconds = wait_seconds
+        self.on_image = on_image
+        self.on_changes = on_changes
+        self.log = log
+        self.rng = rng
+        self.revision: int | None = None
+        self.connected = True
+        self.failures = 0
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self.task = asyncio.create_task(self.run())
+
+    async def close(self) -> None:
+        """Stop following."""
+        if self.task:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    async def run(self) -> None:
+        """Follow until closed."""
+        while True:
+            if self.revision is None:
+                await self.read()
+            else:
+                await self.follow(self.revision)
+
+    async def read(self) -> None:
+        """Read the whole table."""
+        image = await self.store.read_table(self.table)
+        if isinstance(image, StoreFailure):
+            await self.failed(image)
+            return
+        self.answered()
+        self.on_image(image.rows)
+        self.revision = image.revision
+
+    async def follow(self, revision: int) -> None:
+        """Wait for the next changes.
+
+        Args:
+          revision: The version up to which changes are known.
+        """
+        changes = await self.store.follow(
+            self.table, revision, self.wait_seconds
+        )
+        if isinstance(changes, StoreFailure):
+            await self.failed(changes)
+            return
+        self.answered()
+        if isinstance(changes, HistoryGone):
+            self.log.event("history_gone", table=self.table, after=revision)
+            self.revision = None
+            return
+        if changes.rows or changes.removed:
+            self.on_changes(changes)
+        self.revision = max(revision, changes.revision)
+
+    def answered(self) -> None:
+        """Take in that the store is there."""
+        if not self.connected:
+            self.log.event(
+                "store_regained", table=self.table, failures=self.failures
+            )
+        self.connected = True
+        self.failures = 0
+
+    async def failed(self, failure: StoreFailure) -> None:
+        """Wait before the next try."""
+        if self.connected:
+            self.log.event(
+                "store_lost", table=self.table, detail=failure.detail
+            )
+        self.connected = False
+        pause = backoff_seconds(
+            self.failures, self.rng, FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS
+        )
+        self.failures += 1
+        await asyncio.sleep(pause)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/caller_front.py
@@ -0,0 +1,39 @@
+"""The interface of whatever accepts callers' connections."""
+
+import typing
+
+from jackdawcrank.relay.caller_session import CallerSession
+
+
+class SessionSource(typing.Protocol):
+    """Makes a session for a caller that has connected."""
+
+    async def open_session(self, database: str) -> CallerSession | None:
+        """Return a session; None if the database is not declared.
+
+        Args:
+          database: What the caller named.
+        """
+
+    def readiness(self) -> bool:
+        """Return whether new callers should be sent here."""
+
+
+class CallerFront(typing.Protocol):
+    """Accepts callers and carries their statements to sessions."""
+
+    async def start(self, sessions: SessionSource) -> None:
+        """Begin to accept callers.
+
+        Args:
+          sessions: Makes their sessions.
+        """
+
+    def close_idle(self) -> None:
+        """Close connections that have nothing under way."""
+
+    def sessions(self) -> list[CallerSession]:
+        """Return the sessions of all open connections."""
+
+    async def close(self) -> None:
+        """Stop accepting and close every connection."""
