--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/claim.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/claim.py
@@ -16,14 +16,14 @@
       holder: The proxy process that made it.
       replaced: The primary that is to be replaced.
       claimed_at: When, in seconds on the store's clock.
-      finished: Whether the holder is done with it.
+      settled: Whether no order of this claim can be carried out any more.
     """
 
     token: int
     holder: str
     replaced: str
     claimed_at: float
-    finished: bool = False
+    settled: bool = False
 
 
 def next_claim(
@@ -40,6 +40,6 @@
     if present is None:
         return Claim(1, holder, replaced, now)
     age = now - present.claimed_at
-    if not present.finished and 0.0 <= age < CLAIM_SECONDS:
+    if not present.settled and 0.0 <= age < CLAIM_SECONDS:
         return None
     return Claim(present.token + 1, holder, replaced, now)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
@@ -16,6 +16,20 @@
 CLAIMS_TABLE = "succession"
 
 
+@attrs.frozen
+class Granted:
+    """A claim that this process holds.
+
+    Attributes:
+      claim: The claim.
+      first_order: Whether no order of an earlier claim can be carried out
+        any more.
+    """
+
+    claim: Claim
+    first_order: bool
+
+
 class ClaimRows:
     """Writes claims under the condition that nobody else has.
 
@@ -30,7 +44,7 @@
 
     async def claim(
         self, group: str, holder: str, replaced: str
-    ) -> Claim | None:
+    ) -> Granted | None:
         """Claim the right to replace a primary; None if it is not to be had.
 
         Args:
@@ -46,9 +60,10 @@
         present = self.read(row) if row else None
         if row and present is None:
             return None
-        if present and present.holder == holder and not present.finished:
-            # The answer to this process's own write was lost.
-            return present
+        if present and present.holder == holder and not present.settled:
+            # The answer to this process's own write was lost, or its order
+            # has not been answered yet.
+            return Granted(present, False)
         wanted = next_claim(present, holder, replaced, image.store_seconds)
         if wanted is None:
             return None
@@ -56,13 +71,13 @@
             CLAIMS_TABLE, group, dump(wanted), row.revision if row else 0
         )
         if isinstance(written, RowWritten):
-            return wanted
+            return Granted(wanted, present is None or present.settled)
         if isinstance(written, StoreFailure):
             self.log.event("claim_failed", group=group, detail=written.detail)
         return None
 
-    async def finish(self, group: str, claim: Claim) -> None:
-        """Let others claim at once after a failed try.
+    async def settle(self, group: str, claim: Claim) -> None:
+        """Note that no order of a claim is open; others may claim at once.
 
         Args:
           group: The group.
@@ -76,7 +91,7 @@
             await self.store.replace_row(
                 CLAIMS_TABLE,
                 group,
-                dump(attrs.evolve(claim, finished=True)),
+                dump(attrs.evolve(claim, settled=True)),
                 row.revision,
             )
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -13,10 +13,10 @@
 from jackdawcrank_policy.succession import Doubt, PrimaryDoubt
 from jackdawcrank_policy.values.position import Position
 
-# A server's connection limit is shared by the proxies, which do not count
-# each other: a tenth each, as callers are spread unevenly over 15 to 27 of
-# them and a full server refuses without harm.
-CONNECTION_SHARE = 10
+# A server's connection limit is shared by the proxies, 15 to 21 on our users'
+# sites and up to 6 more on a day when VMs are added. A full server refuses
+# without harm.
+CONNECTION_SHARE = 24
 MIN_CONNECTIONS = 2
 
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -1,6 +1,7 @@
 """Replacing the primary of one group."""
 
 import asyncio
+import enum
 import random
 from collections.abc import Coroutine
 from typing import Any
@@ -9,7 +10,7 @@
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.await_reply import await_reply
-from jackdawcrank.relay.claim_rows import ClaimRows
+from jackdawcrank.relay.claim_rows import ClaimRows, Granted
 from jackdawcrank.relay.group_relay import GroupRelay
 from jackdawcrank.relay.server_lane import ServerLane
 from jackdawcrank.seams.commands import (
@@ -39,15 +40,20 @@
 # claims it and the others see that.
 SPREAD_SECONDS = 0.25
 # After a failed try: servers and authority need time to come back.
-RETRY_SECONDS = 0.7
+RETRY_SECONDS = 0.5
+LONGEST_RETRY_SECONDS = 3.0
 # A group without a primary may have one whose report is on its way.
 NO_PRIMARY_SECONDS = 1.0
 # Time for a replica to receive what the leaving primary has; its lag in
 # receiving is a network's delay.
 CATCH_UP_SECONDS = 2.0
 POLL_SECONDS = 0.05
+# Between looks for a primary, by each of some twenty proxies.
+LOOK_SECONDS = 0.3
 # An order without an answer is repeated until somebody else holds the claim.
 ORDER_SECONDS = 8.0
+# A promotion takes up to 1 s on the users' sites.
+EFFECT_SECONDS = 3.0
 
 
 Work = Coroutine[Any, Any, None]
@@ -65,6 +71,15 @@
     status: ServerStatus | None
 
 
+class Result(enum.Enum):
+    """What became of a try to replace a primary."""
+
+    DONE = "done"
+    NOTHING_DONE = "nothing_done"
+    UNANSWERED = "unanswered"
+    """An order may still be carried out."""
+
+
 class GroupSuccession:
     """Watches one group's primary and replaces it when it is lost or leaves.
 
@@ -75,6 +90,7 @@
       running: Whether a replacement or a question is under way.
       primary_missing_since: Since when there has been no primary.
       not_before: When the next try may begin.
+      failures: Tries in a row that changed nothing.
     """
 
     def __init__(
@@ -97,6 +113,7 @@
         self.running = False
         self.primary_missing_since: float | None = None
         self.not_before = 0.0
+        self.failures = 0
         self.loop = asyncio.get_running_loop()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -107,7 +124,10 @@
         reason = self.reason()
         if reason is not None:
             self.begin(self.replace(reason))
-        elif self.group.doubt.any() and self.group.primary_lane():
+        elif self.group.primary_lane() is None:
+            if self.group.lanes:
+                self.begin(self.look_again())
+        elif self.group.doubt.any():
             self.begin(self.question_primary())
 
     def begin(self, work: Work) -> None:
@@ -147,6 +167,11 @@
         doubt = self.group.doubt.verdict(now)
         return None if doubt is Doubt.NONE else doubt.value
 
+    async def look_again(self) -> None:
+        """Look for a primary that the store does not name."""
+        if not await self.look_for_primary():
+            self.not_before = self.loop.time() + LOOK_SECONDS
+
     async def question_primary(self) -> None:
         """Find out whether a primary in doubt answers."""
         lane = self.group.primary_lane()
@@ -165,27 +190,25 @@
         self.not_before = start + 2 * POLL_SECONDS
 
     async def ask(self, lane: ServerLane, command: Command) -> Questioned:
-        """Send a control command over a connection of its own.
+        """Send a control command, past the line of waiting statements.
 
         Args:
           lane: The server's connections.
           command: The command.
         """
-        deadline = self.loop.time() + QUESTION_SECONDS
-        link = await lane.opener.open(lane.server, QUESTION_SECONDS)
+        link = await lane.spare_link(QUESTION_SECONDS)
         if isinstance(link, NotOpened):
             self.group.note_unreachable(lane, link.failure)
             return Questioned(lane, None)
-        try:
-            start = self.loop.time()
-            [future] = link.send([command])
-            reply = await await_reply(future, deadline + QUESTION_SECONDS)
-            if reply is None:
-                self.group.note_lost(lane, not link.closed, start)
-                return Questioned(lane, None)
-            return Questioned(lane, self.status(link.status_of(reply), reply))
-        finally:
-            link.close()
+        start = self.loop.time()
+        [future] = link.send([command])
+        reply = await await_reply(future, start + QUESTION_SECONDS)
+        if reply is None:
+            self.group.note_lost(lane, not link.closed, start)
+            lane.discard(link)
+            return Questioned(lane, None)
+        lane.release(link)
+        return Questioned(lane, self.status(link.status_of(reply), reply))
 
     def status(
         self, status: ServerStatus | None, reply: Reply
@@ -215,17 +238,20 @@
         await asyncio.sleep(self.rng.uniform(0.0, SPREAD_SECONDS))
         if self.reason() is None:
             return
+        if reason == "missing" and await self.look_for_primary():
+            return
         old = self.group.primary_lane()
         old_id = old.server.server_id if old else ""
         if reason == Doubt.UNCONFIRMED.value and await self.keeps_up():
             self.group.doubt.confirmed()
             return
-        claim = await self.claims.claim(
+        granted = await self.claims.claim(
             self.group.name, self.process, old_id
         )
-        if claim is None:
+        if granted is None:
             self.not_before = self.loop.time() + RETRY_SECONDS
             return
+        claim = granted.claim
         self.log.event(
             "replacing_primary",
             group=self.group.name,
@@ -233,14 +259,16 @@
             reason=reason,
             token=claim.token,
         )
-        done = False
         if reason == "leaving" and old is not None:
-            done = await self.hand_over(claim, old)
+            result = await self.hand_over(granted, old)
         else:
-            done = await self.take_over(claim, old)
-        if not done:
-            self.not_before = self.loop.time() + RETRY_SECONDS
-            await self.claims.finish(self.group.name, claim)
+            result = await self.take_over(granted, old)
+        self.failures = 0 if result is Result.DONE else self.failures + 1
+        self.not_before = self.loop.time() + min(
+            RETRY_SECONDS * self.failures, LONGEST_RETRY_SECONDS
+        )
+        if result is not Result.UNANSWERED:
+            await self.claims.settle(self.group.name, claim)
 
     async def keeps_up(self) -> bool:
         """Return whether a replica has received what the primary had."""
@@ -274,15 +302,20 @@
             terms.append(newest.position.term)
         return max(terms, default=0) + 1
 
-    async def take_over(self, claim: Claim, old: ServerLane | None) -> bool:
+    async def take_over(
+        self, granted: Granted, old: ServerLane | None
+    ) -> "Result":
         """Freeze the replicas and promote the most advanced one.
 
         Args:
-          claim: The right to do so.
+          granted: The right to do so.
           old: The lost primary, if there is one.
         """
+        claim = granted.claim
         replicas = self.replicas(old)
         answers = await self.ask_all(replicas, AskStatus())
+        if self.adopt_leader(answers):
+            return Result.NOTHING_DONE
         term = max(
             [self.next_term()]
             + [one.status.term + 1 for one in answers if one.status]
@@ -311,8 +344,12 @@
                 missing=choice.missing,
                 token=claim.token,
             )
-            await self.stand_down(claim, old, answers)
-            return False
+            if granted.first_order:
+                await self.thaw(answers)
+            # Otherwise an order of an earlier claim may still be carried
+            # out; it would lose what is acknowledged from now on. The next
+            # try goes on from here.
+            return Result.NOTHING_DONE
         self.log.event(
             "successor_chosen",
             group=self.group.name,
@@ -323,23 +360,6 @@
         )
         return await self.order(claim, choice.server_id, answers)
 
-    async def stand_down(
-        self,
-        claim: Claim,
-        old: ServerLane | None,
-        frozen: list[Questioned],
-    ) -> None:
-        """Let replicas receive again, once no older order can be obeyed."""
-        if old is not None:
-            answer = await self.authority.promote(
-                self.group.name, old.server.server_id, self.vm, claim.token
-            )
-            if answer in (LeadAnswer.UNANSWERED, LeadAnswer.UNAVAILABLE):
-                # An order of an earlier claim may still be carried out; it
-                # would lose what is acknowledged from now on.
-                return
-        await self.thaw(frozen)
-
     async def thaw(self, frozen: list[Questioned]) -> None:
         """Let frozen replicas receive again."""
         await self.ask_all(
@@ -348,7 +368,7 @@
 
     async def order(
         self, claim: Claim, server_id: str, frozen: list[Questioned]
-    ) -> bool:
+    ) -> "Result":
         """Have a server promoted; repeat the order until it is answered.
 
         Args:
@@ -357,6 +377,7 @@
           frozen: The replicas that wait for the new primary.
         """
         give_up_at = self.loop.time() + ORDER_SECONDS
+        unanswered = False
         while True:
             answer = await self.authority.promote(
                 self.group.name, server_id, self.vm, claim.token
@@ -369,25 +390,76 @@
                 answer=answer.value,
             )
             if answer is LeadAnswer.DONE:
-                self.group.promoted(server_id)
-                rest = [
-                    one
-                    for one in frozen
-                    if one.lane.server.server_id != server_id
-                ]
-                await self.thaw(rest)
-                return True
+                return await self.see_through(server_id, frozen)
+            unanswered = unanswered or answer is LeadAnswer.UNANSWERED
             if answer is LeadAnswer.REFUSED:
-                return False
+                # Another holder is in charge, or the server does not run.
+                return Result.UNANSWERED if unanswered else Result.NOTHING_DONE
             if self.loop.time() >= give_up_at:
-                return False
+                return Result.UNANSWERED if unanswered else Result.NOTHING_DONE
             await asyncio.sleep(2 * POLL_SECONDS)
 
-    async def hand_over(self, claim: Claim, old: ServerLane) -> bool:
+    async def see_through(
+        self, server_id: str, frozen: list[Questioned]
+    ) -> "Result":
+        """Wait until a promoted server leads; then thaw the others.
+
+        The order takes effect some time after its answer. Until then the old
+        primary leads, and a thawed replica would confirm commits that the
+        new one lacks.
+
+        Args:
+          server_id: The promoted server.
+          frozen: The replicas that wait for it.
+        """
+        give_up_at = self.loop.time() + EFFECT_SECONDS
+        lane = self.group.lanes.get(server_id)
+        while lane is not None and self.loop.time() < give_up_at:
+            answer = await self.ask(lane, AskStatus())
+            if answer.status is not None and answer.status.leads:
+                self.group.promoted(server_id)
+                await self.thaw([one for one in frozen if one.lane is not lane])
+                return Result.DONE
+            await asyncio.sleep(POLL_SECONDS)
+            lane = self.group.lanes.get(server_id)
+        self.log.event(
+            "promotion_without_effect",
+            group=self.group.name,
+            server=server_id,
+        )
+        return Result.UNANSWERED
+
+    async def look_for_primary(self) -> bool:
+        """Ask the servers which of them leads; return whether one does.
+
+        Their reports in the store may be late or out of reach.
+        """
+        answers = await self.ask_all(
+            list(self.group.lanes.values()), AskStatus()
+        )
+        return self.adopt_leader(answers)
+
+    def adopt_leader(self, answers: list[Questioned]) -> bool:
+        """Make a server that leads the primary; return whether one does.
+
+        Args:
+          answers: What the servers said.
+        """
+        leading = [
+            (one.status.term, one.lane.server.server_id)
+            for one in answers
+            if one.status is not None and one.status.leads
+        ]
+        if not leading:
+            return False
+        self.group.promoted(max(leading)[1])
+        return True
+
+    async def hand_over(self, granted: Granted, old: ServerLane) -> "Result":
         """Move the lead of a primary that is shutting down.
 
         Args:
-          claim: The right to do so.
+          granted: The right to do so.
           old: The leaving primary.
         """
         staying = [
@@ -396,12 +468,14 @@
         answers = await self.ask_all(staying, AskStatus())
         if not any(one.status for one in answers):
             self.log.event("no_successor", group=self.group.name, missing=())
-            return False
+            return Result.NOTHING_DONE
+        if self.adopt_leader(answers):
+            return Result.NOTHING_DONE
         terms = [one.status.term + 1 for one in answers if one.status]
         term = max([self.next_term(), *terms])
         stepped = await self.ask(old, StepDown(term))
         if stepped.status is None:
-            return await self.take_over(claim, old)
+            return await self.take_over(granted, old)
         final = stepped.status.received
         server_id = await self.wait_for_position(staying, final)
         if server_id is None:
@@ -409,7 +483,7 @@
                 "hand_over_undone", group=self.group.name, position=str(final)
             )
             server_id = old.server.server_id
-        return await self.order(claim, server_id, [])
+        return await self.order(granted.claim, server_id, [])
 
     async def wait_for_position(
         self, lanes: list[ServerLane], position: Position
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -11,8 +11,8 @@
     setup_commands,
 )
 from jackdawcrank.relay.server_lane import ServerLane
-from jackdawcrank.seams.commands import ForwardCommit, UndoTransaction
-from jackdawcrank.seams.replies import Problem, Reply
+from jackdawcrank.seams.commands import Command, ForwardCommit, UndoTransaction
+from jackdawcrank.seams.replies import Problem, Reply, SessionState
 from jackdawcrank.seams.server_link import ServerLink
 
 if typing.TYPE_CHECKING:
@@ -21,6 +21,8 @@
 
 # A rollback needs no slot; a server that does not answer it is silent.
 UNDO_SECONDS = 1.0
+# A slot is free again after about the mean work of 30 ms.
+FULL_PAUSE_SECONDS = 0.03
 
 
 class OpenTransaction:
@@ -60,17 +62,40 @@
           execution: The statement.
         """
         self.wrote = self.wrote or execution.writes
-        commands = setup_commands(self.link, session.memory, execution)
-        commands.append(forward_command(self.link, execution))
         sent_at = boot_seconds()
         start = self.loop.time()
-        futures = self.link.send(commands)
-        reply = await await_reply(futures[-1], start + self.timeout_seconds)
+        commands = setup_commands(self.link, session.memory, execution)
+        commands.append(forward_command(self.link, execution))
+        reply = await self.send(commands, start + self.timeout_seconds)
         if reply is None:
             return self.lost(execution.request_id, start)
         self.answered(sent_at, start, reply)
         return reply
 
+    async def send(
+        self, commands: list[Command], deadline: float
+    ) -> Reply | None:
+        """Send commands; repeat the last while the server is full.
+
+        A full server did not run it and keeps the transaction open.
+
+        Args:
+          commands: The commands.
+          deadline: When to give up, in seconds on the loop's clock.
+        """
+        while True:
+            future = self.link.send(commands)[-1]
+            reply = await await_reply(future, deadline)
+            if (
+                reply is None
+                or reply.problem is not Problem.BUSY
+                or reply.state is not SessionState.IN_TRANSACTION
+                or self.loop.time() + FULL_PAUSE_SECONDS >= deadline
+            ):
+                return reply
+            await asyncio.sleep(FULL_PAUSE_SECONDS)
+            commands = commands[-1:]
+
     def answered(self, sent_at: float, start: float, reply: Reply) -> None:
         """Take in a server's answer."""
         condition = self.lane.condition
@@ -113,11 +138,15 @@
         """
         start = self.loop.time()
         sent_at = boot_seconds()
-        [future] = self.link.send([ForwardCommit(request_id)])
-        reply = await await_reply(future, start + self.timeout_seconds)
+        reply = await self.send(
+            [ForwardCommit(request_id)], start + self.timeout_seconds
+        )
         if reply is None:
             return self.commit_lost(request_id, start)
-        self.release()
+        if self.link.state is SessionState.IDLE:
+            self.release()
+        else:
+            self.undo()
         self.lane.condition.showed(reply.position)
         if reply.problem is None and self.wrote:
             session.saw(reply.position)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -5,6 +5,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.seams.replies import SessionState
 from jackdawcrank.seams.server_link import (
     LinkOpener,
     NotOpened,
@@ -101,6 +102,22 @@
         finally:
             self.line.leave(place)
 
+    async def spare_link(self, timeout_seconds: float) -> Granted:
+        """Return a connection for a control command, beyond the limit.
+
+        Args:
+          timeout_seconds: The longest time to open one.
+        """
+        while self.idle:
+            link = self.idle.pop().link
+            if not link.closed:
+                return link
+            self.count -= 1
+        opened = await self.opener.open(self.server, timeout_seconds)
+        if not isinstance(opened, NotOpened):
+            self.count += 1
+        return opened
+
     def take_idle(self, memory: SessionMemory) -> ServerLink | None:
         """Return the idle connection that fits a session best, or None."""
         while self.idle:
@@ -123,6 +140,15 @@
         Args:
           link: The connection.
         """
+        if link.state is not SessionState.IDLE:
+            # Its next statement would run inside this transaction.
+            self.log.event(
+                "connection_not_idle",
+                server=self.server.server_id,
+                state=link.state.value,
+            )
+            self.discard(link)
+            return
         if link.closed or self.retired or self.count > self.limit:
             self.discard(link)
             return
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/seams/server_link.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/server_link.py
@@ -8,7 +8,7 @@
 import attrs
 
 from jackdawcrank.seams.commands import Command
-from jackdawcrank.seams.replies import Reply, ServerStatus
+from jackdawcrank.seams.replies import Reply, ServerStatus, SessionState
 from jackdawcrank_policy.catalog import ListedServer
 from jackdawcrank_policy.sessions import ConnectionMemory
 from jackdawcrank_policy.values.position import Position
@@ -50,11 +50,13 @@
     Attributes:
       memory: What the connection holds of the sessions that used it.
       closed: Whether it can be used no more.
+      state: Where the connection stands, by the server's last answer.
       first_position: The position that the server told on connecting.
     """
 
     memory: ConnectionMemory
     closed: bool
+    state: SessionState
     first_position: Position | None
 
     def send(
