--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
@@ -5,6 +5,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.store_contact import StoreContact
 from jackdawcrank.seams.metadata_store import (
     MetadataStore,
     RowWritten,
@@ -35,11 +36,15 @@
 
     Attributes:
       store: Where the rows lie, one a group.
+      contact: Told of every answer and failure.
       log: Where decisions are told.
     """
 
-    def __init__(self, store: MetadataStore, log: DecisionLog) -> None:
+    def __init__(
+        self, store: MetadataStore, contact: StoreContact, log: DecisionLog
+    ) -> None:
         self.store = store
+        self.contact = contact
         self.log = log
 
     async def claim(
@@ -55,7 +60,9 @@
         image = await self.store.read_table(CLAIMS_TABLE, group)
         if isinstance(image, StoreFailure):
             self.log.event("claim_failed", group=group, detail=image.detail)
+            self.contact.failed(f"{CLAIMS_TABLE}: {image.detail}")
             return None
+        self.contact.answered()
         row = image.rows[0] if image.rows else None
         present = self.read(row) if row else None
         if row and present is None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
@@ -4,6 +4,7 @@
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.group_relay import GroupRelay, Whereabouts
+from jackdawcrank.relay.store_contact import StoreContact
 from jackdawcrank.seams.declaration_source import DeclarationFormat
 from jackdawcrank.seams.metadata_store import StoredRow, TableChanges
 from jackdawcrank.seams.server_link import LinkOpener
@@ -34,11 +35,13 @@
         form: DeclarationFormat,
         opener: LinkOpener,
         whereabouts: Whereabouts,
+        contact: StoreContact,
         log: DecisionLog,
     ) -> None:
         self.form = form
         self.opener = opener
         self.whereabouts = whereabouts
+        self.contact = contact
         self.log = log
         self.declarations: Declarations | None = None
         self.servers: dict[str, ListedServer] = {}
@@ -169,7 +172,11 @@
             present = self.groups.get(name)
             if present is None:
                 self.groups[name] = GroupRelay(
-                    group, self.opener, self.whereabouts, self.log
+                    group,
+                    self.opener,
+                    self.whereabouts,
+                    self.contact,
+                    self.log,
                 )
             else:
                 present.group = group
@@ -180,6 +187,12 @@
             self.groups.pop(name).apply_servers(())
         self.ready.set()
 
+    def cut_off(self) -> bool:
+        """Return whether callers are better served by another proxy."""
+        return self.contact.lost and any(
+            group.usable_primary() is None for group in self.groups.values()
+        )
+
     async def close(self) -> None:
         """Let go of every server."""
         for handle in self.missing.values():
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -6,6 +6,7 @@
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.server_lane import OPEN_TIMEOUT_SECONDS, ServerLane
+from jackdawcrank.relay.store_contact import StoreContact
 from jackdawcrank.seams.server_link import LinkOpener, OpenFailure
 from jackdawcrank_policy.catalog import ListedServer, ServedGroup
 from jackdawcrank_policy.floors import FloorHistory
@@ -18,6 +19,8 @@
 # without harm.
 CONNECTION_SHARE = 24
 MIN_CONNECTIONS = 2
+# How soon a waiting statement notices that a primary answers again.
+LOOK_AGAIN_SECONDS = 0.1
 
 
 class Whereabouts:
@@ -57,6 +60,7 @@
       primary_id: The present primary, or None while there is none.
       disowned: Servers that answered that they do not lead, by the revision
         of the report that claims it.
+      contact: Whether the store can be reached.
       changed: Set and replaced whenever the primary changes.
     """
 
@@ -65,8 +69,10 @@
         group: ServedGroup,
         opener: LinkOpener,
         whereabouts: Whereabouts,
+        contact: StoreContact,
         log: DecisionLog,
     ) -> None:
+        self.contact = contact
         self.group = group
         self.name = group.name
         self.opener = opener
@@ -215,23 +221,35 @@
     async def wait_for_primary(self, deadline: float) -> ServerLane | None:
         """Return a primary's lane, waiting while one is being replaced.
 
+        Without the store no proxy here can replace it, and none elsewhere
+        could tell: then whoever asks is better served by another proxy.
+
         Args:
           deadline: When to give up, in seconds on the loop's clock.
         """
         while True:
-            lane = self.primary_lane()
-            now = self.loop.time()
-            if lane and self.doubt.verdict(now) in (
-                Doubt.NONE,
-                Doubt.UNCONFIRMED,
-            ):
+            lane = self.usable_primary()
+            if lane is not None:
                 return lane
+            now = self.loop.time()
+            if self.contact.lost or now >= deadline:
+                return None
             changed = self.changed
             try:
-                async with asyncio.timeout_at(deadline):
+                async with asyncio.timeout_at(
+                    min(deadline, now + LOOK_AGAIN_SECONDS)
+                ):
                     await changed.wait()
             except TimeoutError:
-                return None
+                continue
+
+    def usable_primary(self) -> ServerLane | None:
+        """Return the primary's lane unless it is taken to be lost."""
+        lane = self.primary_lane()
+        if lane is None:
+            return None
+        doubt = self.doubt.verdict(self.loop.time())
+        return lane if doubt in (Doubt.NONE, Doubt.UNCONFIRMED) else None
 
     def note_lost(
         self,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -14,6 +14,7 @@
 from jackdawcrank.relay.leaving import Leaving
 from jackdawcrank.relay.relay_settings import RelaySettings
 from jackdawcrank.relay.statement_runner import StatementRunner
+from jackdawcrank.relay.store_contact import StoreContact
 from jackdawcrank.relay.succession_service import SuccessionService
 from jackdawcrank.relay.table_follower import TableFollower
 from jackdawcrank.seams.caller_front import CallerFront
@@ -57,10 +58,12 @@
         self.log = log
         self.front = front
         self.timer = TimerService()
+        contact = StoreContact(log)
         self.directory = Directory(
             form,
             opener,
             Whereabouts(settings.data_center, settings.regions),
+            contact,
             log,
         )
         self.runner = StatementRunner(self.directory, log)
@@ -71,6 +74,7 @@
                 settings.configuration_seconds * DECLARATIONS_WAIT_SHARE,
                 self.directory.declarations_read,
                 self.directory.declarations_changed,
+                contact,
                 log,
                 rng,
             ),
@@ -80,6 +84,7 @@
                 settings.drain_seconds * SERVERS_WAIT_SHARE,
                 self.directory.servers_read,
                 self.directory.servers_changed,
+                contact,
                 log,
                 rng,
             ),
@@ -91,7 +96,7 @@
             self.directory,
             settings.vm,
             process,
-            ClaimRows(store, log),
+            ClaimRows(store, contact, log),
             authority,
             log,
             rng,
@@ -129,7 +134,11 @@
 
     def readiness(self) -> bool:
         """Return whether new callers should be sent here."""
-        return self.directory.ready.is_set() and not self.leaving.begun
+        return (
+            self.directory.ready.is_set()
+            and not self.leaving.begun
+            and not self.directory.cut_off()
+        )
 
     async def stop(self) -> None:
         """Leave: let what is under way end, then close."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -41,6 +41,7 @@
 # The age of data counts until the server reads it: a round trip between
 # regions (80 ms), twice, and a late timer.
 AGE_MARGIN_SECONDS = 0.25
+NO_PRIMARY = "no primary"
 
 
 class Resolver(typing.Protocol):
@@ -100,7 +101,7 @@
         spec, group = resolved(session)
         now = self.loop.time()
         attempts = Attempts(now + spec.statement_timeout_seconds, now)
-        while self.loop.time() < attempts.deadline:
+        while self.may_try(group, attempts):
             attempts.count += 1
             if execution.writes:
                 reply = await self.try_write(session, execution, attempts)
@@ -114,6 +115,14 @@
         self.note(session, execution, attempts, reply)
         return reply
 
+    def may_try(self, group: GroupRelay, attempts: Attempts) -> bool:
+        """Return whether another attempt can be of use."""
+        if self.loop.time() >= attempts.deadline:
+            return False
+        if attempts.reason != NO_PRIMARY:
+            return True
+        return not group.contact.lost or group.usable_primary() is not None
+
     def note(
         self,
         session: "CallerSession",
@@ -359,7 +368,7 @@
         spec, group = resolved(session)
         now = self.loop.time()
         attempts = Attempts(now + spec.statement_timeout_seconds, now)
-        while self.loop.time() < attempts.deadline:
+        while self.may_try(group, attempts):
             attempts.count += 1
             opened = await self.try_begin(session, execution, attempts)
             if opened is not None:
@@ -436,7 +445,7 @@
         _, group = resolved(session)
         lane = await group.wait_for_primary(attempts.deadline)
         if lane is None:
-            attempts.reason = "no primary"
+            attempts.reason = NO_PRIMARY
             return None
         link = await self.lease(lane, session, attempts)
         return (lane, link) if link else None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.store_contact import StoreContact
 from jackdawcrank.seams.metadata_store import (
     HistoryGone,
     MetadataStore,
@@ -26,7 +27,8 @@
     Attributes:
       table: The table.
       revision: The store's version up to which changes are known.
-      connected: Whether the store answered last time.
+      contact: Told of every answer and failure.
+      failures: Failures in a row.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         wait_seconds: float,
         on_image: Callable[[tuple[StoredRow, ...]], None],
         on_changes: Callable[[TableChanges], None],
+        contact: StoreContact,
         log: DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -44,10 +47,10 @@
         self.wait_seconds = wait_seconds
         self.on_image = on_image
         self.on_changes = on_changes
+        self.contact = contact
         self.log = log
         self.rng = rng
         self.revision: int | None = None
-        self.connected = True
         self.failures = 0
         self.task: asyncio.Task[None] | None = None
 
@@ -102,20 +105,12 @@
 
     def answered(self) -> None:
         """Take in that the store is there."""
-        if not self.connected:
-            self.log.event(
-                "store_regained", table=self.table, failures=self.failures
-            )
-        self.connected = True
+        self.contact.answered()
         self.failures = 0
 
     async def failed(self, failure: StoreFailure) -> None:
         """Wait before the next try."""
-        if self.connected:
-            self.log.event(
-                "store_lost", table=self.table, detail=failure.detail
-            )
-        self.connected = False
+        self.contact.failed(f"{self.table}: {failure.detail}")
         pause = backoff_seconds(
             self.failures, self.rng, FIRST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS
         )
