--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := policy wire proxy cli standins
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/jackdawcrank-$(p))
-SOURCES := packages bench
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/jackdawcrank-$(p)) -e platform
+SOURCES := packages platform bench
 
 .PHONY: demo test lint format types bench clean
 
-$(VENV)/.installed: requirements/dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements/dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements/dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
@@ -24,7 +24,7 @@
 	$(BIN)/ruff check $(SOURCES)
 
 types: $(VENV)/.installed
-	$(BIN)/mypy packages/*/src bench
+	$(BIN)/mypy packages/*/src platform/src bench
 
 format: $(VENV)/.installed
 	$(BIN)/ruff format $(SOURCES)
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/sessions/connection_memory.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/sessions/connection_memory.py
@@ -52,9 +52,7 @@
                 self.values[name] = value
         if statement is not None and statement not in self.names:
             self.names[statement] = f"j{len(self.names)}"
-            steps.append(
-                DefineStatement(self.names[statement], statement)
-            )
+            steps.append(DefineStatement(self.names[statement], statement))
         return steps
 
     def mismatch(self, session: SessionMemory) -> int:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
@@ -199,9 +199,7 @@
 
 
 @handle.register
-async def _(
-    statement: Begin, session: CallerSession, request_id: str
-) -> Reply:
+async def _(statement: Begin, session: CallerSession, request_id: str) -> Reply:
     if session.state is not SessionState.IDLE:
         session.fail_transaction()
         return session.refuse(
@@ -261,9 +259,7 @@
             Problem.UNKNOWN_NAME, f"no statement {statement.name!r}"
         )
     return await session.run_data(
-        Execution(
-            request_id, prepared.writes, statement.arguments, prepared
-        )
+        Execution(request_id, prepared.writes, statement.arguments, prepared)
     )
 
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/execution.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/execution.py
@@ -52,6 +52,4 @@
     if execution.prepared is None:
         return Forward(execution.request_id, execution.text, needed)
     name = link.memory.names[execution.prepared]
-    return ForwardPrepared(
-        execution.request_id, name, execution.text, needed
-    )
+    return ForwardPrepared(execution.request_id, name, execution.text, needed)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -100,9 +100,7 @@
                 lane.retire()
                 del self.lanes[server_id]
                 self.lead_since.pop(server_id, None)
-                self.log.event(
-                    "server_gone", group=self.name, server=server_id
-                )
+                self.log.event("server_gone", group=self.name, server=server_id)
         for server in listed.values():
             self.apply_server(server)
         self.settle_primary()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -245,9 +245,7 @@
         if reason == Doubt.UNCONFIRMED.value and await self.keeps_up():
             self.group.doubt.confirmed()
             return
-        granted = await self.claims.claim(
-            self.group.name, self.process, old_id
-        )
+        granted = await self.claims.claim(self.group.name, self.process, old_id)
         if granted is None:
             self.not_before = self.loop.time() + RETRY_SECONDS
             return
@@ -462,9 +460,7 @@
           granted: The right to do so.
           old: The leaving primary.
         """
-        staying = [
-            one for one in self.replicas(old) if not one.server.leaving
-        ]
+        staying = [one for one in self.replicas(old) if not one.server.leaving]
         answers = await self.ask_all(staying, AskStatus())
         if not any(one.status for one in answers):
             self.log.event("no_successor", group=self.group.name, missing=())
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -54,7 +54,9 @@
         self.ended = False
         self.loop = asyncio.get_running_loop()
 
-    async def run(self, session: "CallerSession", execution: Execution) -> Reply:
+    async def run(
+        self, session: "CallerSession", execution: Execution
+    ) -> Reply:
         """Run a statement of the transaction.
 
         Args:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -201,9 +201,7 @@
         needed = self.needed_position(session, attempts)
         lane = None
         if needed is not None:
-            lane = group.read_lane(
-                self.loop.time(), needed, attempts.excluded
-            )
+            lane = group.read_lane(self.loop.time(), needed, attempts.excluded)
         if lane is None:
             return await self.read_from_primary(session, execution, attempts)
         link = await self.lease(lane, session, attempts)
@@ -252,9 +250,7 @@
         """Wait for the answer to a read as long as it is worth it."""
         start = self.loop.time()
         limit = self.attempt_seconds(lane, attempts, start)
-        reply = await await_reply(
-            future, min(attempts.deadline, start + limit)
-        )
+        reply = await await_reply(future, min(attempts.deadline, start + limit))
         now = self.loop.time()
         if reply is None:
             silent = now - start >= limit
@@ -397,9 +393,7 @@
         if session.read_only:
             needed = self.needed_position(session, attempts)
         if needed is not None:
-            lane = group.read_lane(
-                self.loop.time(), needed, attempts.excluded
-            )
+            lane = group.read_lane(self.loop.time(), needed, attempts.excluded)
         on_primary = lane is None
         if lane is None:
             leased = await self.lease_primary(session, attempts)
@@ -418,9 +412,7 @@
         start = self.loop.time()
         limit = self.attempt_seconds(lane, attempts, start)
         future = link.send(batch)[-1]
-        reply = await await_reply(
-            future, min(attempts.deadline, start + limit)
-        )
+        reply = await await_reply(future, min(attempts.deadline, start + limit))
         if reply is None:
             silent = self.loop.time() - start >= limit
             attempts.reason = "silent" if silent else "connection lost"
--- /dev/null
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/row_tables.py
@@ -0,0 +1,192 @@
+"""The metadata store of the platform, in memory."""
+
+import asyncio
+import base64
+import json
+import time
+
+import attrs
+from aiohttp import web
+
+
+@attrs.define
+class StoredRow:
+    """A row.
+
+    Attributes:
+      value: Its bytes.
+      ver: The transaction that wrote it.
+    """
+
+    value: bytes
+    ver: int
+
+
+class RowTables:
+    """Tables of rows over HTTP, with faults that can be switched on.
+
+    Attributes:
+      rows: The rows by table and key.
+      ver: The newest transaction.
+      down: Whether every call gets 503.
+      audible: Cleared while calls get no answer.
+      lose_answers: The next so many writes are done and not answered.
+      calls: Calls by path.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], StoredRow] = {}
+        self.history: list[tuple[int, str, str, bytes | None]] = []
+        self.forgotten = 0
+        self.ver = 0
+        self.down = False
+        self.audible = asyncio.Event()
+        self.audible.set()
+        self.lose_answers = 0
+        self.calls: dict[str, int] = {}
+        self.changed = asyncio.Event()
+        self.runner: web.AppRunner | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        app = web.Application()
+        app.router.add_get("/rows-get", self.rows_get)
+        app.router.add_get("/rows-feed", self.rows_feed)
+        app.router.add_post("/rows-tx", self.rows_tx)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def close(self) -> None:
+        """Stop listening."""
+        self.put_nothing()
+        if self.runner:
+            await self.runner.cleanup()
+
+    def put_nothing(self) -> None:
+        """Wake whoever waits for changes."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row.
+
+        Args:
+          table: The table.
+          key: The row's key.
+          value: Its bytes.
+        """
+        self.ver += 1
+        self.rows[(table, key)] = StoredRow(value, self.ver)
+        self.history.append((self.ver, table, key, value))
+        self.put_nothing()
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row.
+
+        Args:
+          table: The table.
+          key: The row's key.
+        """
+        self.ver += 1
+        self.rows.pop((table, key), None)
+        self.history.append((self.ver, table, key, None))
+        self.put_nothing()
+
+    def forget_history(self) -> None:
+        """Drop the record of changes."""
+        self.history.clear()
+        self.forgotten = self.ver
+
+    async def trouble(self, path: str) -> web.Response | None:
+        """Count a call; return the answer of a store in trouble."""
+        self.calls[path] = self.calls.get(path, 0) + 1
+        await self.audible.wait()
+        return web.Response(status=503) if self.down else None
+
+    def answer(self, rows: list[dict[str, object]]) -> web.Response:
+        """Return rows with the newest version."""
+        now_ms = int(time.monotonic() * 1000)
+        return web.json_response(
+            {"rows": rows, "hasMore": False, "ver": self.ver, "nowMs": now_ms}
+        )
+
+    async def rows_get(self, request: web.Request) -> web.Response:
+        """Answer a range."""
+        trouble = await self.trouble("/rows-get")
+        if trouble is not None:
+            return trouble
+        table = request.query["table"]
+        first = request.query.get("from", "")
+        end = request.query.get("target")
+        found = [
+            row_body(table, key, row.value, row.ver)
+            for (of, key), row in sorted(self.rows.items())
+            if of == table and key >= first and (end is None or key < end)
+        ]
+        return self.answer(found)
+
+    async def rows_feed(self, request: web.Request) -> web.Response:
+        """Answer the changes after a version, as soon as there are some."""
+        table = request.query["table"]
+        after = int(request.query["after"])
+        deadline = time.monotonic() + int(request.query["waitMs"]) / 1000
+        while True:
+            trouble = await self.trouble("/rows-feed")
+            if trouble is not None:
+                return trouble
+            if after < self.forgotten:
+                return web.Response(status=410)
+            found = [
+                row_body(of, key, value, ver)
+                for ver, of, key, value in self.history
+                if of == table and ver > after
+            ]
+            left = deadline - time.monotonic()
+            if found or left <= 0:
+                return self.answer(found)
+            try:
+                await asyncio.wait_for(self.changed.wait(), min(left, 0.05))
+            except TimeoutError:
+                continue
+
+    async def rows_tx(self, request: web.Request) -> web.Response:
+        """Apply a transaction or none of it."""
+        trouble = await self.trouble("/rows-tx")
+        if trouble is not None:
+            return trouble
+        body = json.loads(await request.read())
+        for one in body["precondition"]:
+            row = self.rows.get((one["table"], one["key"]))
+            if (row.ver if row else 0) != one["ver"]:
+                return web.json_response({"rows": []}, status=412)
+        for one in body["writes"]:
+            value = base64.b64decode(one["value"])
+            self.put(one["table"], one["key"], value)
+        for one in body["remove"]:
+            self.remove(one["table"], one["key"])
+        if self.lose_answers:
+            self.lose_answers -= 1
+            if request.transport:
+                request.transport.close()
+        return self.answer([])
+
+
+def row_body(
+    table: str, key: str, value: bytes | None, ver: int
+) -> dict[str, object]:
+    """Return a row as an answer holds it."""
+    body: dict[str, object] = {
+        "table": table,
+        "part": "",
+        "key": key,
+        "ver": ver,
+    }
+    if value is None:
+        body["tombstone"] = True
+    else:
+        body["value"] = base64.b64encode(value).decode()
+    return body
--- /dev/null
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
@@ -0,0 +1,215 @@
+"""The users' platform in one process."""
+
+import asyncio
+import json
+import pathlib
+import socket
+
+from aiohttp import web
+
+from jackdawcrank_standins.users_platform.line_group import LineGroup
+from jackdawcrank_standins.users_platform.line_server import LineServer
+from jackdawcrank_standins.users_platform.row_tables import RowTables
+
+ZONES = {"north-a": "north", "south-a": "south", "west-a": "west"}
+KINDS = {
+    "primary": 0,
+    "bounded_staleness": 1_500,
+    "read_your_writes": 2_500,
+}
+
+
+class StandinPlatform:
+    """Groups of servers, the store, duty calls and the operator.
+
+    Each group `G` has the databases `G-primary`, `G-bounded_staleness` and
+    `G-read_your_writes`.
+
+    Attributes:
+      groups: The groups by name.
+      store: The store.
+      version: The newest configuration.
+      lose_orders: The next so many duty calls are done and not answered.
+      hold_orders: How long duty calls without an answer are held back.
+    """
+
+    def __init__(self, names: tuple[str, ...] = ("plots",)) -> None:
+        self.store = RowTables()
+        self.groups = {name: LineGroup(name) for name in names}
+        self.version = 0
+        self.timeout_ms = 1_000
+        self.idle_ms = 3_000
+        self.dropped: set[str] = set()
+        self.lose_orders = 0
+        self.hold_orders = 0.0
+        self.holders: list[tuple[str, int]] = []
+        self.late: set[asyncio.Task[None]] = set()
+        self.runner: web.AppRunner | None = None
+        self.duty_port = 0
+
+    async def start(self) -> None:
+        """Start the store, the duty calls and every server."""
+        await self.store.start()
+        app = web.Application()
+        app.router.add_post("/promotion", self.promotion)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.duty_port = self.runner.addresses[0][1]
+        for group in self.groups.values():
+            for zone in ZONES:
+                await self.add_server(group, f"{group.name}-{zone}", zone)
+        self.configure()
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for group in self.groups.values():
+            for server in group.servers.values():
+                await server.close()
+        for task in self.late:
+            task.cancel()
+        if self.runner:
+            await self.runner.cleanup()
+        await self.store.close()
+
+    async def add_server(
+        self, group: LineGroup, server_id: str, zone: str
+    ) -> LineServer:
+        """Start a server; the first one leads.
+
+        Args:
+          group: The group that it joins.
+          server_id: Its id.
+          zone: Where it stands.
+        """
+        server = LineServer(server_id, group, zone, self.report)
+        primary = group.primary()
+        server.leads = not group.servers
+        if primary:
+            server.receive(primary.log)
+        group.servers[server_id] = server
+        await server.start()
+        server.report()
+        return server
+
+    def report(self, server: LineServer) -> None:
+        """Write a server's entry."""
+        body = {
+            "service": server.group.name,
+            "address": f"127.0.0.1:{server.port}",
+            "zone": server.zone,
+            "version": "v1",
+            "slots": 5,
+            "state": "draining" if server.draining else "ready",
+            "coldLeftMs": 0,
+            "dbRole": "primary" if server.leads else "replica",
+            "seqNo": 1,
+            "born": 1_700_000_000_000,
+        }
+        self.store.put("servers", server.server_id, json.dumps(body).encode())
+
+    def configure(self) -> None:
+        """Write the next configuration."""
+        self.version += 1
+        routes = [
+            {
+                "name": f"r-{name}-{kind}",
+                "host": f"{name}-{kind}",
+                "prefix": "/",
+                "routeType": kind,
+                "timeoutMs": self.timeout_ms,
+                "aimMs": 400,
+                "priority": 1,
+                "service": name,
+                "maxAttempts": 2,
+                **({"maxStalenessMs": age} if age else {}),
+            }
+            for name in self.groups
+            for kind, age in KINDS.items()
+            if f"{name}-{kind}" not in self.dropped
+        ]
+        services = [
+            {
+                "name": name,
+                "maxConns": 72,
+                "syncReplicas": group.sync_replicas,
+            }
+            for name, group in self.groups.items()
+        ]
+        body = {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": {"txIdleMs": self.idle_ms},
+        }
+        self.store.put("op", "config", json.dumps(body).encode())
+
+    async def promotion(self, request: web.Request) -> web.Response:
+        """Answer a duty call."""
+        body = json.loads(await request.read())
+        token = int(request.headers["X-Jackdawcrank-Fencing-Token"])
+        holder = request.headers["X-Jackdawcrank-Duty-Holder"]
+        self.holders.append((holder, token))
+        group = self.groups[body["service"]]
+        if self.lose_orders:
+            self.lose_orders -= 1
+            task = asyncio.create_task(self.obey_late(group, body, token))
+            self.late.add(task)
+            if request.transport:
+                request.transport.close()
+            return web.Response(status=500)
+        return web.Response(status=group.promote(body["id"], token))
+
+    async def obey_late(
+        self, group: LineGroup, body: dict[str, str], token: int
+    ) -> None:
+        """Carry an order out that was not answered."""
+        await asyncio.sleep(self.hold_orders)
+        group.promote(body["id"], token)
+
+    def write_boot_file(self, path: pathlib.Path, vm: str, zone: str) -> int:
+        """Write a process's settings; return the port for callers.
+
+        Args:
+          path: The file.
+          vm: The process's VM.
+          zone: Where it stands.
+        """
+        front, ready, control = free_ports(3)
+        lines = [
+            f'nodeName = "{vm}"',
+            f'zone = "{zone}"',
+            "internalPorts = [0, 0]",
+            "[zones]",
+            *(f'{one} = "{region}"' for one, region in ZONES.items()),
+            "[listen]",
+            f'front = "127.0.0.1:{front}"',
+            f'readyAddr = "127.0.0.1:{ready}"',
+            f'control = "127.0.0.1:{control}"',
+            "[bounds]",
+            "drainMs = 7000",
+            "graceS = 2",
+            "configApplyMs = 3000",
+            "[platform]",
+            f'address = "127.0.0.1:{self.store.port}"',
+            "[cloudApi]",
+            f'address = "127.0.0.1:{self.duty_port}"',
+        ]
+        path.write_text("\n".join(lines) + "\n")
+        return front
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on.
+
+    Args:
+      count: How many.
+    """
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
