Take an unsigned success for a lost answer; hear of closed idle connections

Cause, found by the stand-in: with a read's answer lost, the answer to the rollback behind it was taken for the read's. A success without a signature now counts as no answer. A primary that crashes while nobody asks is noticed when it ends the idle connections; before, only a statement noticed it.

--- a/packages/jackdawcrank-policy/tests/catalog/test_declarations.py
+++ b/packages/jackdawcrank-policy/tests/catalog/test_declarations.py
@@ -1,4 +1,5 @@
 import attrs
+
 from jackdawcrank_policy.catalog import Declarations, ListedServer
 
 SERVER = ListedServer("s1", "plots", "h", 1, "dc", 5, False, True, 7, 1)
--- a/packages/jackdawcrank-policy/tests/sessions/test_connection_memory.py
+++ b/packages/jackdawcrank-policy/tests/sessions/test_connection_memory.py
@@ -1,5 +1,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
+
 from jackdawcrank_policy.sessions import (
     ClearSession,
     ConnectionMemory,
--- a/packages/jackdawcrank-policy/tests/succession/test_choose_successor.py
+++ b/packages/jackdawcrank-policy/tests/succession/test_choose_successor.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+
 from jackdawcrank_policy.succession import (
     FrozenServer,
     NoSuccessor,
--- a/packages/jackdawcrank-policy/tests/succession/test_claim.py
+++ b/packages/jackdawcrank-policy/tests/succession/test_claim.py
@@ -1,4 +1,5 @@
 import attrs
+
 from jackdawcrank_policy.succession import Claim, next_claim
 
 FIRST = Claim(1, "vm1", "s1", 10.0)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/await_reply.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/await_reply.py
@@ -6,6 +6,24 @@
 from jackdawcrank.seams.server_link import LinkLostError
 
 
+async def await_result(
+    future: asyncio.Future[Reply], deadline: float
+) -> Reply | None:
+    """Return the reply to a caller's statement, or None if there is none.
+
+    A success without the server's signature answers another command, so the
+    answer in between was lost.
+
+    Args:
+      future: The reply to come.
+      deadline: When to give up, in seconds on the loop's clock.
+    """
+    reply = await await_reply(future, deadline)
+    if reply is not None and reply.problem is None and not reply.signature:
+        return None
+    return reply
+
+
 async def await_reply(
     future: asyncio.Future[Reply], deadline: float
 ) -> Reply | None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -1,6 +1,7 @@
 """What this proxy knows and holds of one group."""
 
 import asyncio
+import functools
 from collections.abc import Iterable
 
 from jackdawcrank.decisions import DecisionLog
@@ -114,7 +115,11 @@
         lane = self.lanes.get(server.server_id)
         if lane is None:
             lane = ServerLane(
-                server, self.opener, self.connection_limit(), self.log
+                server,
+                self.opener,
+                self.connection_limit(),
+                self.log,
+                functools.partial(self.idle_link_lost, server.server_id),
             )
             self.lanes[server.server_id] = lane
             self.log.event(
@@ -273,6 +278,16 @@
         else:
             self.doubt.was_silent(sent_at)
 
+    def idle_link_lost(self, server_id: str) -> None:
+        """Take in that a server ended a connection that nobody used.
+
+        Args:
+          server_id: The server.
+        """
+        lane = self.lanes.get(server_id)
+        if lane is not None:
+            self.note_lost(lane, silent=False, sent_at=self.loop.time())
+
     def note_unreachable(self, lane: ServerLane, failure: OpenFailure) -> None:
         """Take in that no connection could be made.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from jackdawcrank.relay.await_reply import await_reply
+from jackdawcrank.relay.await_reply import await_result
 from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.execution import (
     Execution,
@@ -87,7 +87,7 @@
         """
         while True:
             future = self.link.send(commands)[-1]
-            reply = await await_reply(future, deadline)
+            reply = await await_result(future, deadline)
             if (
                 reply is None
                 or reply.problem is not Problem.BUSY
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -1,6 +1,8 @@
 """The connections of this proxy to one backend server."""
 
 import asyncio
+import functools
+from collections.abc import Callable
 
 import attrs
 
@@ -52,6 +54,7 @@
       count: Connections that are open or being opened.
       line: Who waits for one.
       retired: Whether the server is gone.
+      on_lost: Called when the server ends a connection that nobody uses.
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         opener: LinkOpener,
         limit: int,
         log: DecisionLog,
+        on_lost: Callable[[], None],
     ) -> None:
+        self.on_lost = on_lost
         self.server = server
         self.opener = opener
         self.limit = limit
@@ -109,7 +114,7 @@
           timeout_seconds: The longest time to open one.
         """
         while self.idle:
-            link = self.idle.pop().link
+            link = self.take(-1)
             if not link.closed:
                 return link
             self.count -= 1
@@ -128,12 +133,25 @@
                     -index,
                 ),
             )
-            link = self.idle.pop(best).link
+            link = self.take(best)
             if not link.closed:
                 return link
             self.count -= 1
         return None
 
+    def take(self, index: int) -> ServerLink:
+        """Take an idle connection into use."""
+        link = self.idle.pop(index).link
+        link.on_closed = None
+        return link
+
+    def idle_closed(self, link: ServerLink) -> None:
+        """Take in that an idle connection ended from the other side."""
+        kept = [one for one in self.idle if one.link is not link]
+        self.count -= len(self.idle) - len(kept)
+        self.idle = kept
+        self.on_lost()
+
     def release(self, link: ServerLink) -> None:
         """Give a connection back that is in no transaction.
 
@@ -158,6 +176,7 @@
                 place.item.set_result(link)
                 return
         self.idle.append(IdleLink(link, now))
+        link.on_closed = functools.partial(self.idle_closed, link)
 
     def discard(self, link: ServerLink) -> None:
         """Close a connection that cannot be used again.
@@ -242,17 +261,13 @@
         """
         oldest = self.loop.time() - IDLE_SECONDS
         while len(self.idle) > keep and self.idle[0].since < oldest:
-            self.discard(self.idle.pop(0).link)
-        alive = [one for one in self.idle if not one.link.closed]
-        self.count -= len(self.idle) - len(alive)
-        self.idle = alive
+            self.discard(self.take(0))
 
     def drop_idle(self) -> None:
         """Close every connection that nobody uses."""
-        for one in self.idle:
-            one.link.close()
-        self.count -= len(self.idle)
-        self.idle.clear()
+        while self.idle:
+            self.take(-1).close()
+            self.count -= 1
 
     def retire(self) -> None:
         """Take no new work; connections in use end with their work."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -6,7 +6,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
-from jackdawcrank.relay.await_reply import await_reply
+from jackdawcrank.relay.await_reply import await_reply, await_result
 from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.execution import (
     Execution,
@@ -167,7 +167,7 @@
         start = self.loop.time()
         sent_at = boot_seconds()
         future = link.send(batch)[-1]
-        reply = await await_reply(future, attempts.deadline)
+        reply = await await_result(future, attempts.deadline)
         if reply is None:
             silent = not link.closed
             group.note_lost(lane, silent, start, wrote=True)
@@ -250,7 +250,9 @@
         """Wait for the answer to a read as long as it is worth it."""
         start = self.loop.time()
         limit = self.attempt_seconds(lane, attempts, start)
-        reply = await await_reply(future, min(attempts.deadline, start + limit))
+        reply = await await_result(
+            future, min(attempts.deadline, start + limit)
+        )
         now = self.loop.time()
         if reply is None:
             silent = now - start >= limit
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/seams/server_link.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/server_link.py
@@ -52,12 +52,14 @@
       closed: Whether it can be used no more.
       state: Where the connection stands, by the server's last answer.
       first_position: The position that the server told on connecting.
+      on_closed: Called once when the connection has ended.
     """
 
     memory: ConnectionMemory
     closed: bool
     state: SessionState
     first_position: Position | None
+    on_closed: collections.abc.Callable[[], None] | None
 
     def send(
         self, commands: collections.abc.Sequence[Command]
