--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -5,7 +5,7 @@
 stamp=target/requirements.installed
 if ! cmp -s deploy/requirements.txt "$stamp"; then
   rm -rf "$deps"
-  python3 -m pip install -q --target "$deps" -r deploy/requirements.txt
+  python3 -m pip install -q --no-deps --target "$deps" -r deploy/requirements.txt
   cp deploy/requirements.txt "$stamp"
 fi
 for source in \
--- /dev/null
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/cause.py
@@ -0,0 +1,107 @@
+"""The cause of an answer in one sentence."""
+
+from jackdawcrank_cli.explain.chain import Chain
+from jackdawcrank_cli.explain.log_lines import LogLine
+
+BY_REASON = {
+    "full": "all connections that the proxy may hold to {server} were in use",
+    "busy": "server {server} had no free slot and its queue was full",
+    "silent": "server {server} did not answer in time",
+    "refused": "server {server} refused connections",
+    "connection lost": "the connection to {server} ended before the answer",
+    "wrong_server": "another server now listens where {server} was",
+    "lacks_position": "no replica had the log position {needed}",
+    "not_primary": "server {server} no longer led its group",
+}
+
+
+def cause(chain: Chain) -> str:
+    """Return why a request ended as it did.
+
+    Args:
+      chain: What the logs hold about it.
+    """
+    if not chain.own:
+        return (
+            "No line names this request: its line was dropped under load, the "
+            "process died first, or the logs do not cover it."
+        )
+    last = chain.own[-1]
+    outcome = last.text("outcome")
+    if outcome == "done":
+        return f"It was answered in {last.text('ms')} ms."
+    if last.event == "idle_transaction_ended":
+        return "Its caller rested in a transaction for too long."
+    if last.event in ("commit_in_doubt", "transaction_lost"):
+        return lost(chain, last)
+    if outcome == "in_doubt":
+        return in_doubt(chain, last)
+    return refused(chain, last)
+
+
+def lost(chain: Chain, last: LogLine) -> str:
+    """Return why a statement of a transaction had no answer."""
+    how = (
+        f"gave no answer for {last.text('waited')} s"
+        if last.fields.get("silent")
+        else "ended the connection"
+    )
+    what = (
+        "The commit may stand or not"
+        if last.event == "commit_in_doubt"
+        else "The transaction was rolled back"
+    )
+    return f"{what}: server {last.text('server')} {how}{change(chain)}."
+
+
+def in_doubt(chain: Chain, last: LogLine) -> str:
+    """Return why a write is in doubt."""
+    return (
+        f"The write may stand or not: server {last.text('server')} gave no "
+        f"answer ({last.text('reason')}){change(chain)}."
+    )
+
+
+def refused(chain: Chain, last: LogLine) -> str:
+    """Return why a statement was refused."""
+    reason = last.text("reason")
+    if reason == "no primary":
+        return no_primary(chain)
+    text = BY_REASON.get(reason, reason or last.text("outcome"))
+    text = text.format(
+        server=last.text("server") or "of the group",
+        needed=last.text("needed"),
+    )
+    return f"It was refused, and nothing is kept: {text}{change(chain)}."
+
+
+def no_primary(chain: Chain) -> str:
+    """Return why there was no primary to send a statement to."""
+    contact = [
+        line.event
+        for line in chain.before
+        if line.event in ("store_lost", "store_regained")
+    ]
+    if contact and contact[-1] == "store_lost":
+        return (
+            "It was refused at once: the proxy reached neither a primary nor "
+            f"the store{change(chain)}."
+        )
+    return (
+        "It was refused after its time: the group had no primary"
+        f"{change(chain)}."
+    )
+
+
+def change(chain: Chain) -> str:
+    """Return the change of primary around a request, as a clause."""
+    for line in reversed(chain.before):
+        if line.event == "replacing_primary":
+            old = line.text("old") or "of the group"
+            return (
+                f", while {line.vm} replaced primary {old} "
+                f"({line.text('reason')})"
+            )
+        if line.event == "no_successor":
+            return ", and no replica could be promoted without risk"
+    return ""
--- /dev/null
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/chain.py
@@ -0,0 +1,108 @@
+"""What led to the answer of one request."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from jackdawcrank_cli.explain.log_lines import LogLine
+
+# What a process believed shortly before counts: the longest statement of our
+# users takes 3 s, and a change of primary is over in 7 s.
+LOOK_BACK_SECONDS = 7.0
+BELIEFS = frozenset(
+    {
+        "claim_failed",
+        "configuration_in_force",
+        "connection_failed",
+        "hand_over_undone",
+        "history_gone",
+        "leaving",
+        "lines_dropped",
+        "no_successor",
+        "not_primary",
+        "primary_changed",
+        "promotion_ordered",
+        "promotion_without_effect",
+        "replacing_primary",
+        "server_gone",
+        "server_listed",
+        "server_reported",
+        "store_lost",
+        "store_regained",
+        "successor_chosen",
+    }
+)
+
+
+@attrs.frozen
+class Chain:
+    """A request's own lines and those that explain them.
+
+    Attributes:
+      request: The request's id.
+      own: The lines that name it, in order.
+      before: What its processes believed before it ended, in order.
+    """
+
+    request: str
+    own: tuple[LogLine, ...]
+    before: tuple[LogLine, ...]
+
+    def in_order(self) -> list[LogLine]:
+        """Return all lines in the order of their times."""
+        return sorted([*self.own, *self.before], key=lambda line: line.at)
+
+
+def find_chain(lines: Iterable[LogLine], request: str) -> Chain:
+    """Return what the logs hold about a request.
+
+    A change of primary is told by whichever process made it, so lines about
+    the request's group count from every process.
+
+    Args:
+      lines: The lines of all logs.
+      request: The request's id.
+    """
+    known = list(lines)
+    own = [line for line in known if line.fields.get("request") == request]
+    own.sort(key=lambda line: line.at)
+    if not own:
+        return Chain(request, (), ())
+    last = own[-1]
+    vms = {line.vm for line in own}
+    groups = {line.text("group") for line in own} - {""}
+    servers = {line.text("server") for line in own} - {""}
+    groups |= {
+        line.text("group")
+        for line in known
+        if line.text("server") in servers and line.text("group")
+    }
+    before = [
+        line
+        for line in known
+        if line.event in BELIEFS
+        and last.at - LOOK_BACK_SECONDS <= line.at <= last.at
+        and concerns(line, vms, groups)
+    ]
+    before.sort(key=lambda line: line.at)
+    return Chain(request, tuple(own), tuple(before))
+
+
+def concerns(line: LogLine, vms: set[str], groups: set[str]) -> bool:
+    """Return whether a belief bears on a request.
+
+    Args:
+      line: The belief.
+      vms: The processes that handled the request.
+      groups: The groups that it went to.
+    """
+    group = line.text("group")
+    if not group:
+        return line.vm in vms
+    if groups and group not in groups:
+        return False
+    return line.vm in vms or line.event in (
+        "replacing_primary",
+        "promotion_ordered",
+        "no_successor",
+    )
--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/main.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/main.py
@@ -9,6 +9,7 @@
 from jackdawcrank_cli.commands.apply import apply
 from jackdawcrank_cli.commands.delete import delete
 from jackdawcrank_cli.commands.diff import diff
+from jackdawcrank_cli.commands.explain import explain
 from jackdawcrank_cli.commands.get import describe, get
 from jackdawcrank_cli.commands.settings import settings
 from jackdawcrank_cli.commands.status import status
@@ -30,6 +31,7 @@
     requests,
     status,
     timeline,
+    explain,
     settings,
 )
 
@@ -57,7 +59,7 @@
 
 for command in COMMANDS:
     main.add_command(command)
-    if command is not settings:
+    if command not in (explain, settings):
         command.params.append(output_option())
 
 
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/place.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/place.py
@@ -42,12 +42,14 @@
       distance: How far it is.
       slots: Statements that it runs at once.
       condition: What is known of it.
+      waiting: Statements that wait here for a connection to it.
     """
 
     server_id: str
     distance: Distance
     slots: int
     condition: ServerCondition
+    waiting: int = 0
 
 
 def choose(
@@ -103,6 +105,7 @@
     condition = candidate.condition
     unknown = UNKNOWN_SECONDS[candidate.distance]
     seconds = condition.expected_seconds(now, unknown)
-    queued = condition.running / max(1, candidate.slots)
+    ahead = condition.running + candidate.waiting
+    queued = ahead / max(1, candidate.slots)
     away = candidate.distance is Distance.ELSEWHERE
     return seconds * (1.0 + queued) + (REGION_PENALTY_SECONDS if away else 0.0)
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/server_condition.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/server_condition.py
@@ -9,6 +9,9 @@
 # The weight of one answer: with work that varies by 0.7 of its mean, the
 # smoothed time then varies by about 0.15 of it.
 ANSWER_WEIGHT = 0.1
+# Answers given up are rare and tell much: three of them move the smoothed time
+# most of the way.
+GIVEN_UP_WEIGHT = 0.3
 # After this long without answers half of a server's excess is forgotten, so a
 # server that was slow is tried again within seconds.
 FORGET_HALF_LIFE_SECONDS = 2.0
@@ -61,6 +64,20 @@
         self.best_seconds = min(self.best_seconds, self.seconds)
         self.answered_at = now
 
+    def gave_up(self, seconds: float) -> None:
+        """Take in an answer that was waited for in vain.
+
+        Had the wait been longer, the answer might have come: the next wait
+        is longer, so that a slow server is not taken for a silent one for
+        ever.
+
+        Args:
+          seconds: How long it was waited for.
+        """
+        known = seconds if self.seconds is None else self.seconds
+        self.seconds = known + GIVEN_UP_WEIGHT * max(0.0, seconds - known)
+        self.best_seconds = min(self.best_seconds, self.seconds)
+
     def failed(self, now: float) -> None:
         """Take in a failure to reach it or an overload.
 
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/__init__.py
@@ -1,5 +1,6 @@
 """Waiting for a scarce thing, by priority."""
 
+from jackdawcrank_policy.waiting.turn import Turn
 from jackdawcrank_policy.waiting.waiting_line import Place, WaitingLine
 
-__all__ = ["Place", "WaitingLine"]
+__all__ = ["Place", "Turn", "WaitingLine"]
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/waiting_line.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/waiting_line.py
@@ -61,6 +61,16 @@
         self.length += 1
         return place
 
+    def ahead_of(self, priority: int) -> int:
+        """Return how many would be served before a newcomer.
+
+        Args:
+          priority: The newcomer's.
+        """
+        return sum(
+            not place.left and place.priority <= priority for place in self.heap
+        )
+
     def leave(self, place: Place[T]) -> None:
         """Give a place up.
 
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/waiting/test_turn.py
@@ -0,0 +1,85 @@
+import heapq
+import math
+
+from jackdawcrank_policy.waiting import Turn, WaitingLine
+
+
+def test_wait_grows_with_the_line_and_shrinks_with_connections() -> None:
+    turn = Turn(0.1)
+    assert math.isclose(turn.wait_seconds(0, 1), 0.1)
+    assert math.isclose(turn.wait_seconds(5, 3), 0.2)
+
+
+def test_loans_are_smoothed() -> None:
+    turn = Turn(0.1)
+    turn.ended(1.1)
+    assert 0.15 < turn.loan_seconds < 0.25
+
+
+def play(rate: float, refuse: bool) -> tuple[float, float, float]:
+    """Play statements of 100 ms over three connections.
+
+    Returns:
+      The share that had its answer within the second that each may take, the
+      share of the urgent tenth that had, and the mean time until a refusal.
+    """
+    turn = Turn(0.1)
+    line: WaitingLine[int] = WaitingLine()
+    ends: list[float] = []
+    served = urgent_served = urgent = count = 0
+    refusals: list[float] = []
+    arrivals = [number / rate for number in range(int(rate * 10))]
+    started: dict[int, float] = {}
+
+    def begin(number: int, now: float) -> None:
+        heapq.heappush(ends, now + 0.1)
+        started[number] = now
+
+    def free_until(now: float) -> None:
+        while ends and ends[0] <= now:
+            end = heapq.heappop(ends)
+            turn.ended(0.1)
+            place = line.pop(end)
+            if place is not None:
+                begin(place.item, end)
+
+    for number, now in enumerate(arrivals):
+        free_until(now)
+        count += 1
+        priority = 0 if number % 10 == 0 else 1
+        urgent += priority == 0
+        if len(ends) < 3:
+            begin(number, now)
+        elif (
+            refuse
+            and now + turn.wait_seconds(line.ahead_of(priority), 3) >= now + 0.9
+        ):
+            refusals.append(0.0)
+        else:
+            line.join(priority, now + 0.9, number)
+    free_until(20.0)
+    for number, now in enumerate(arrivals):
+        in_time = number in started and started[number] + 0.1 <= now + 1.0
+        served += in_time
+        urgent_served += in_time and number % 10 == 0
+    refusals += [0.9] * (count - len(started) - len(refusals))
+    mean = sum(refusals) / len(refusals) if refusals else 0.0
+    return served / count, urgent_served / urgent, mean
+
+
+def test_load_below_the_capacity_is_served_whole() -> None:
+    assert play(rate=28.0, refuse=True) == (1.0, 1.0, 0.0)
+
+
+def test_twice_the_capacity_serves_the_capacity_and_refuses_at_once() -> None:
+    # Three connections do 30 a second; 60 come.
+    served, urgent, refused_after = play(rate=60.0, refuse=True)
+    assert served >= 0.48
+    assert urgent == 1.0
+    # A refusal is late after a quarter of the aim, a second here.
+    assert refused_after <= 0.25
+
+
+def test_without_refusing_at_once_callers_wait_in_vain() -> None:
+    _, _, refused_after = play(rate=60.0, refuse=False)
+    assert refused_after > 0.5
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/decision_log.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/decision_log.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+from jackdawcrank.decisions.measurements import Measurements
 from jackdawcrank.timer.subscription import Subscription
 from jackdawcrank.timer.timer import Timer
 
@@ -26,6 +27,7 @@
 
     Attributes:
       vm: The process's name in every line.
+      measurements: Counts the events and the answers.
       waiting: Lines that are not written yet.
       ordinary: Ordinary lines since the last flush.
       dropped: Lines that were left out since the last report of it.
@@ -33,6 +35,7 @@
 
     def __init__(self, vm: str, descriptor: int = STANDARD_OUTPUT) -> None:
         self.vm = vm
+        self.measurements = Measurements()
         self.descriptor = descriptor
         self.waiting: collections.deque[bytes] = collections.deque()
         self.ordinary = 0
@@ -64,6 +67,11 @@
           name: The event's name.
           **fields: The inputs that decided it, and the outcome.
         """
+        self.measurements.event(name)
+        self.keep(name, fields)
+
+    def keep(self, name: str, fields: dict[str, typing.Any]) -> None:
+        """Keep a line if the buffer has room."""
         if len(self.waiting) >= MAX_WAITING_LINES:
             self.dropped += 1
             return
@@ -78,11 +86,12 @@
           name: The event's name.
           **fields: The inputs that decided it, and the outcome.
         """
+        self.measurements.event(name)
         self.ordinary += 1
         if self.ordinary > MAX_ORDINARY_LINES:
             self.dropped += 1
             return
-        self.event(name, **fields)
+        self.keep(name, fields)
 
     async def flush(self, _now: float) -> None:
         """Write as much as the reader takes.
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -0,0 +1,259 @@
+"""Every event that the decision log may hold."""
+
+import attrs
+
+
+@attrs.frozen
+class EventSpec:
+    """One kind of line.
+
+    Attributes:
+      name: The event's name.
+      when: When it is written.
+      fields: Its fields and what they hold, units included.
+    """
+
+    name: str
+    when: str
+    fields: dict[str, str]
+
+
+REQUEST = {"request": "the caller's id of the statement"}
+GROUP = {"group": "the database group"}
+SERVER = {"server": "the backend server"}
+ATTEMPTS = {
+    "attempts": "attempts that were made",
+    "reason": "what went wrong last",
+}
+REPORT = {
+    **GROUP,
+    **SERVER,
+    "leads": "whether it takes itself for the primary",
+    "leaving": "whether it is shutting down",
+    "revision": "the store's version of the report",
+}
+LOST = {
+    **REQUEST,
+    **GROUP,
+    **SERVER,
+    "silent": "whether the connection stood all the while",
+    "waited": "seconds until it was given up",
+}
+
+EVENTS = (
+    EventSpec(
+        "started",
+        "the process begins",
+        {"data_center": "where it runs"},
+    ),
+    EventSpec("stopped", "the process has closed everything", {}),
+    EventSpec(
+        "leaving",
+        "the process was told to stop",
+        {"sessions": "sessions that are open"},
+    ),
+    EventSpec(
+        "left",
+        "the last session ended or the grace is used up",
+        {
+            "cut_transactions": "transactions that had to be rolled back",
+            "seconds": "seconds since the signal",
+        },
+    ),
+    EventSpec("settings_reload_requested", "SIGHUP came", {}),
+    EventSpec(
+        "store_lost",
+        "the first call to the store without a usable answer",
+        {"detail": "which call and why"},
+    ),
+    EventSpec(
+        "store_regained",
+        "the store answers again",
+        {"failures": "calls that failed in between"},
+    ),
+    EventSpec(
+        "history_gone",
+        "the store no longer keeps the changes asked for",
+        {"table": "the table", "after": "the version asked for"},
+    ),
+    EventSpec(
+        "configuration_in_force",
+        "a newer configuration was taken in",
+        {
+            "version": "its version",
+            "databases": "databases in it",
+            "groups": "groups in it",
+        },
+    ),
+    EventSpec(
+        "configuration_unreadable",
+        "a stored configuration cannot be used; the last one stays",
+        {"revision": "the store's version of it", "detail": "why"},
+    ),
+    EventSpec(
+        "report_unreadable",
+        "a server's report cannot be used; it names no server",
+        {"key": "the report's key"},
+    ),
+    EventSpec("server_listed", "a server was reported first", REPORT),
+    EventSpec("server_reported", "a server's report changed", REPORT),
+    EventSpec("server_gone", "a server is taken for gone", GROUP | SERVER),
+    EventSpec(
+        "primary_changed",
+        "the proxy believes in another primary",
+        {
+            **GROUP,
+            "old": "the primary before, or null",
+            "new": "the primary now, or null",
+        },
+    ),
+    EventSpec(
+        "not_primary",
+        "a server answered that it does not lead",
+        {**GROUP, **SERVER, "revision": "the report that said it did"},
+    ),
+    EventSpec(
+        "connection_failed",
+        "no connection to a server was made",
+        {
+            **GROUP,
+            **SERVER,
+            "reason": "refused, silent, wrong_server or full",
+            "detail": "a sentence about it",
+            "held": "connections that this proxy holds there",
+        },
+    ),
+    EventSpec(
+        "connection_not_idle",
+        "a connection came back inside a transaction and was closed",
+        {**SERVER, "state": "where it stood"},
+    ),
+    EventSpec(
+        "statement",
+        "a statement outside a transaction was answered",
+        {
+            **REQUEST,
+            "database": "the database",
+            "writes": "whether it changes data",
+            **SERVER,
+            "needed": "the log position that a replica had to have",
+            **ATTEMPTS,
+            "ms": "milliseconds until the answer",
+            "outcome": "done, or the problem that the caller was told",
+            "version": "the configuration's version",
+        },
+    ),
+    EventSpec(
+        "transaction_statement",
+        "a statement failed inside a transaction",
+        {
+            **REQUEST,
+            **GROUP,
+            **SERVER,
+            "outcome": "the problem that the caller was told",
+            "ms": "milliseconds until the answer",
+        },
+    ),
+    EventSpec(
+        "transaction_ended",
+        "a commit was answered",
+        {
+            **REQUEST,
+            **GROUP,
+            **SERVER,
+            "outcome": "done, or the problem that the caller was told",
+            "position": "the log position of the commit",
+            "ms": "milliseconds until the answer",
+        },
+    ),
+    EventSpec(
+        "transaction_refused",
+        "no server could open a transaction in time",
+        {**REQUEST, "database": "the database", **ATTEMPTS},
+    ),
+    EventSpec(
+        "transaction_lost",
+        "a statement in a transaction got no answer; it was rolled back",
+        LOST,
+    ),
+    EventSpec(
+        "commit_in_doubt",
+        "a commit got no answer; it may stand or not",
+        LOST,
+    ),
+    EventSpec(
+        "idle_transaction_ended",
+        "a caller rested in a transaction for too long",
+        {"database": "the database", "idle": "seconds without a statement"},
+    ),
+    EventSpec(
+        "replacing_primary",
+        "this proxy has claimed the replacement of a primary",
+        {
+            **GROUP,
+            "old": "the primary to replace",
+            "reason": "leaving, missing, refusing, silent or unconfirmed",
+            "token": "the claim's number",
+        },
+    ),
+    EventSpec(
+        "claim_failed",
+        "the store gave no answer to a claim",
+        {**GROUP, "detail": "why"},
+    ),
+    EventSpec(
+        "claim_unreadable",
+        "a claim in the store cannot be read; nobody can act on the group",
+        {"key": "the row", "detail": "why"},
+    ),
+    EventSpec(
+        "successor_chosen",
+        "a replica that holds every acknowledged commit was found",
+        {
+            **GROUP,
+            **SERVER,
+            "position": "the last entry that it holds",
+            "token": "the claim's number",
+            "term": "the term under which replicas were frozen",
+        },
+    ),
+    EventSpec(
+        "no_successor",
+        "no replica may be promoted without risk",
+        {
+            **GROUP,
+            "missing": "replicas that may hold a commit alone",
+            "token": "the claim's number",
+        },
+    ),
+    EventSpec(
+        "promotion_ordered",
+        "the platform answered an order, or did not",
+        {
+            **GROUP,
+            **SERVER,
+            "token": "the claim's number",
+            "answer": "done, refused, unavailable or unanswered",
+        },
+    ),
+    EventSpec(
+        "promotion_without_effect",
+        "a promoted server does not lead after a while",
+        GROUP | SERVER,
+    ),
+    EventSpec(
+        "hand_over_undone",
+        "no replica caught up with a leaving primary, which leads again",
+        {**GROUP, "position": "where the old primary stopped"},
+    ),
+    EventSpec(
+        "status_refused",
+        "a server did not say how it stands",
+        {**GROUP, "problem": "the problem", "detail": "what it said"},
+    ),
+    EventSpec(
+        "lines_dropped",
+        "lines were left out since the last such line",
+        {"count": "how many"},
+    ),
+)
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/metric_spec.py
@@ -0,0 +1,31 @@
+"""Every counter and histogram of a relaying process."""
+
+import attrs
+
+
+@attrs.frozen
+class MetricSpec:
+    """One metric.
+
+    Attributes:
+      name: Its name, unit included.
+      help: What it counts.
+    """
+
+    name: str
+    help: str
+
+
+EVENTS_TOTAL = MetricSpec(
+    "jackdawcrank_events_total", "decision log events, by name"
+)
+ANSWERS_TOTAL = MetricSpec(
+    "jackdawcrank_answers_total",
+    "answers to callers, by database and outcome",
+)
+COUNTERS = (EVENTS_TOTAL, ANSWERS_TOTAL)
+ANSWER_SECONDS = MetricSpec(
+    "jackdawcrank_answer_seconds",
+    "seconds from a statement to its answer, by database",
+)
+HISTOGRAMS = (ANSWER_SECONDS,)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
@@ -180,6 +180,7 @@
                 )
             else:
                 present.group = group
+            self.groups[name].declared_version = self.declarations.version
             self.groups[name].apply_servers(
                 one for one in self.servers.values() if one.group == name
             )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -56,6 +56,7 @@
     Attributes:
       name: The group's name.
       lanes: The connections by server.
+      declared_version: The configuration in force.
       floors: Positions that prove freshness.
       doubt: Evidence against the present primary.
       primary_id: The present primary, or None while there is none.
@@ -80,6 +81,7 @@
         self.whereabouts = whereabouts
         self.log = log
         self.lanes: dict[str, ServerLane] = {}
+        self.declared_version = 0
         self.floors = FloorHistory()
         self.doubt = PrimaryDoubt()
         self.primary_id: str | None = None
@@ -337,6 +339,7 @@
             self.whereabouts.distance(lane.server.data_center),
             lane.server.slots,
             lane.condition,
+            lane.line.length,
         )
 
     def floor(self, max_age: float) -> Position | None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -17,12 +17,14 @@
     AskStatus,
     Command,
     Freeze,
+    OpenTransaction,
     StepDown,
     Thaw,
+    UndoTransaction,
 )
 from jackdawcrank.seams.lead_authority import LeadAnswer, LeadAuthority
-from jackdawcrank.seams.replies import Reply, ServerStatus
-from jackdawcrank.seams.server_link import NotOpened
+from jackdawcrank.seams.replies import Problem, Reply, ServerStatus
+from jackdawcrank.seams.server_link import NotOpened, OpenFailure
 from jackdawcrank_policy.succession import (
     Claim,
     Doubt,
@@ -64,7 +66,7 @@
     """What a server answered to a control command.
 
     Attributes:
-      status: What it said of itself; None if it did not answer.
+      status: What it said of itself; None if it did not say.
     """
 
     lane: ServerLane
@@ -178,17 +180,34 @@
         if lane is None:
             return
         start = self.loop.time()
-        answered = await self.ask(lane, AskStatus())
-        if lane is not self.group.primary_lane():
-            return
-        if answered.status is None:
-            await asyncio.sleep(POLL_SECONDS)
-            return
-        self.group.doubt.answered()
-        if not answered.status.leads:
-            self.group.disown(lane)
+        await self.is_alive(lane)
         self.not_before = start + 2 * POLL_SECONDS
 
+    async def is_alive(self, lane: ServerLane) -> bool:
+        """Return whether a primary answers, and note whether it leads.
+
+        An empty transaction needs no slot, so a server that is merely full
+        answers at once.
+        """
+        link = await lane.spare_link(QUESTION_SECONDS)
+        if isinstance(link, NotOpened):
+            self.group.note_unreachable(lane, link.failure)
+            return link.failure is OpenFailure.FULL
+        start = self.loop.time()
+        futures = link.send([OpenTransaction(False), UndoTransaction()])
+        opened = await await_reply(futures[0], start + QUESTION_SECONDS)
+        ended = await await_reply(futures[1], start + QUESTION_SECONDS)
+        if opened is None or ended is None:
+            self.group.note_lost(lane, not link.closed, start)
+            lane.discard(link)
+            return False
+        lane.release(link)
+        if lane is self.group.primary_lane():
+            self.group.doubt.answered()
+            if opened.problem is Problem.NOT_PRIMARY:
+                self.group.disown(lane)
+        return True
+
     async def ask(self, lane: ServerLane, command: Command) -> Questioned:
         """Send a control command, past the line of waiting statements.
 
@@ -245,6 +264,10 @@
         if reason == Doubt.UNCONFIRMED.value and await self.keeps_up():
             self.group.doubt.confirmed()
             return
+        lost = reason in (Doubt.SILENT.value, Doubt.REFUSING.value)
+        if lost and old is not None and await self.is_alive(old):
+            self.group.doubt.answered()
+            return
         granted = await self.claims.claim(self.group.name, self.process, old_id)
         if granted is None:
             self.not_before = self.loop.time() + RETRY_SECONDS
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -72,6 +72,15 @@
         if reply is None:
             return self.lost(execution.request_id, start)
         self.answered(sent_at, start, reply)
+        if reply.problem is not None:
+            self.group.log.event(
+                "transaction_statement",
+                request=execution.request_id,
+                group=self.group.name,
+                server=self.lane.server.server_id,
+                outcome=reply.problem.value,
+                ms=round((self.loop.time() - start) * 1000),
+            )
         return reply
 
     async def send(
@@ -150,6 +159,7 @@
         else:
             self.undo()
         self.lane.condition.showed(reply.position)
+        self.note_commit(session.database, request_id, start, reply)
         if reply.problem is None and self.wrote:
             session.saw(reply.position)
             self.group.doubt.confirmed()
@@ -159,6 +169,25 @@
             self.group.disown(self.lane)
         return reply
 
+    def note_commit(
+        self, database: str, request_id: str, start: float, reply: Reply
+    ) -> None:
+        """Log the answer to a commit."""
+        log = self.group.log
+        seconds = self.loop.time() - start
+        outcome = reply.problem.value if reply.problem else "done"
+        log.measurements.answered(database, outcome, seconds)
+        write = log.event if reply.problem else log.routine
+        write(
+            "transaction_ended",
+            request=request_id,
+            group=self.group.name,
+            server=self.lane.server.server_id,
+            outcome=outcome,
+            position=str(reply.position),
+            ms=round(seconds * 1000),
+        )
+
     def commit_lost(self, request_id: str, start: float) -> Reply:
         """Give up a commit without an answer."""
         if not self.wrote:
@@ -195,14 +224,12 @@
         """Give the connection back."""
         if not self.ended:
             self.ended = True
-            self.lane.condition.running -= 1
             self.lane.release(self.link)
 
     def drop(self) -> None:
         """Close the connection; the server rolls back what is open."""
         if not self.ended:
             self.ended = True
-            self.lane.condition.running -= 1
             self.lane.discard(self.link)
 
 
@@ -221,7 +248,6 @@
 
     def finish(done: asyncio.Future[Reply]) -> None:
         timeout.cancel()
-        lane.condition.running -= 1
         lost = done.cancelled() or done.exception() is not None
         if lost:
             lane.discard(link)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -17,7 +17,7 @@
 from jackdawcrank_policy.catalog import ListedServer
 from jackdawcrank_policy.placement import ServerCondition
 from jackdawcrank_policy.sessions import SessionMemory
-from jackdawcrank_policy.waiting import WaitingLine
+from jackdawcrank_policy.waiting import Turn, WaitingLine
 
 # Above a round trip between regions (40 ms) twice, a handshake behind a full
 # server (27 ms each) and a delayed packet.
@@ -30,6 +30,11 @@
 Granted = ServerLink | NotOpened
 
 
+@attrs.frozen
+class Hopeless:
+    """All connections are in use, and the turn cannot come in time."""
+
+
 @attrs.frozen
 class IdleLink:
     """A connection that nobody uses.
@@ -52,7 +57,9 @@
       condition: What this proxy knows of the server.
       idle: Connections that nobody uses, the latest used last.
       count: Connections that are open or being opened.
+      loans: The connections in use, and since when.
       line: Who waits for one.
+      turn: How long they are lent.
       retired: Whether the server is gone.
       on_lost: Called when the server ends a connection that nobody uses.
     """
@@ -75,6 +82,8 @@
         self.count = 0
         self.opening = 0
         self.full_until = 0.0
+        self.turn = Turn()
+        self.loans: dict[ServerLink, float] = {}
         self.line: WaitingLine[asyncio.Future[Granted]] = WaitingLine()
         self.retired = False
         self.tasks: set[asyncio.Task[None]] = set()
@@ -82,7 +91,7 @@
 
     async def acquire(
         self, memory: SessionMemory, priority: int, deadline: float
-    ) -> Granted:
+    ) -> Granted | Hopeless:
         """Return a connection, waiting for one if all are in use.
 
         Args:
@@ -93,20 +102,42 @@
         """
         link = self.take_idle(memory)
         if link is not None:
-            return link
+            return self.lend(link)
+        if not self.hopeful(priority, deadline):
+            return Hopeless()
         granted: asyncio.Future[Granted] = self.loop.create_future()
         place = self.line.join(priority, deadline, granted)
         self.open_more()
         try:
             async with asyncio.timeout_at(deadline):
-                return await granted
+                return self.lend(await granted)
         except TimeoutError:
             if granted.done() and not granted.cancelled():
-                return granted.result()
+                return self.lend(granted.result())
             return NotOpened(OpenFailure.FULL, "all connections are in use")
         finally:
             self.line.leave(place)
 
+    def lend(self, granted: Granted) -> Granted:
+        """Note that a connection is in use from now on."""
+        if not isinstance(granted, NotOpened):
+            self.loans[granted] = self.loop.time()
+            self.condition.running = len(self.loans)
+        return granted
+
+    def returned(self, link: ServerLink) -> None:
+        """Note that a connection is no longer in use."""
+        lent_at = self.loans.pop(link, None)
+        if lent_at is not None:
+            self.turn.ended(self.loop.time() - lent_at)
+            self.condition.running = len(self.loans)
+
+    def hopeful(self, priority: int, deadline: float) -> bool:
+        """Return whether a newcomer's turn should come in time."""
+        ahead = self.line.ahead_of(priority)
+        wait = self.turn.wait_seconds(ahead, self.limit)
+        return self.loop.time() + wait < deadline
+
     async def spare_link(self, timeout_seconds: float) -> Granted:
         """Return a connection for a control command, beyond the limit.
 
@@ -158,6 +189,7 @@
         Args:
           link: The connection.
         """
+        self.returned(link)
         if link.state is not SessionState.IDLE:
             # Its next statement would run inside this transaction.
             self.log.event(
@@ -184,6 +216,7 @@
         Args:
           link: The connection.
         """
+        self.returned(link)
         link.close()
         self.count -= 1
         self.open_more()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -18,7 +18,7 @@
     OpenTransaction,
     give_back_after,
 )
-from jackdawcrank.relay.server_lane import ServerLane
+from jackdawcrank.relay.server_lane import Hopeless, ServerLane
 from jackdawcrank.seams import commands
 from jackdawcrank.seams.replies import NOT_RUN, Problem, Reply
 from jackdawcrank.seams.server_link import NotOpened, OpenFailure, ServerLink
@@ -66,6 +66,9 @@
       excluded: Servers that have failed it.
       lagged: Whether a replica lacked the position.
       reason: What went wrong last.
+      hopeless: Whether its turn cannot come in time.
+      server: The server of the latest attempt.
+      needed: The position that a replica had to have in it.
     """
 
     deadline: float
@@ -74,6 +77,9 @@
     excluded: set[str] = attrs.Factory(set)
     lagged: bool = False
     reason: str = "no server could be reached"
+    hopeless: bool = False
+    server: str = ""
+    needed: Position | None = None
 
 
 class StatementRunner:
@@ -117,7 +123,7 @@
 
     def may_try(self, group: GroupRelay, attempts: Attempts) -> bool:
         """Return whether another attempt can be of use."""
-        if self.loop.time() >= attempts.deadline:
+        if attempts.hopeless or self.loop.time() >= attempts.deadline:
             return False
         if attempts.reason != NO_PRIMARY:
             return True
@@ -131,6 +137,10 @@
         reply: Reply,
     ) -> None:
         """Log what became of a statement."""
+        spec, group = resolved(session)
+        seconds = self.loop.time() - attempts.started_at
+        outcome = reply.problem.value if reply.problem else "done"
+        self.log.measurements.answered(session.database, outcome, seconds)
         plain = reply.problem is None and attempts.count == 1
         write = self.log.routine if plain else self.log.event
         write(
@@ -138,10 +148,13 @@
             request=execution.request_id,
             database=session.database,
             writes=execution.writes,
+            server=attempts.server,
+            needed=str(attempts.needed) if attempts.needed else None,
             attempts=attempts.count,
-            ms=round((self.loop.time() - attempts.started_at) * 1000),
-            outcome=reply.problem.value if reply.problem else "done",
+            ms=round(seconds * 1000),
+            outcome=outcome,
             reason="" if plain else attempts.reason,
+            version=group.declared_version,
         )
 
     async def pause(self, attempts: Attempts) -> None:
@@ -199,6 +212,7 @@
         """Make one attempt to read; None if there is no answer."""
         spec, group = resolved(session)
         needed = self.needed_position(session, attempts)
+        attempts.needed = needed
         lane = None
         if needed is not None:
             lane = group.read_lane(self.loop.time(), needed, attempts.excluded)
@@ -259,6 +273,8 @@
             attempts.reason = "silent" if silent else "connection lost"
             attempts.excluded.add(lane.server.server_id)
             lane.condition.failed(now)
+            if silent:
+                lane.condition.gave_up(now - start)
             group.note_lost(lane, silent, start)
             return None
         if reply.problem is None:
@@ -449,23 +465,26 @@
     ) -> ServerLink | None:
         """Return a connection of a lane, or None."""
         spec, group = resolved(session)
+        attempts.server = lane.server.server_id
         granted = await lane.acquire(
             session.memory, spec.priority, attempts.deadline
         )
+        if isinstance(granted, Hopeless):
+            attempts.reason = OpenFailure.FULL.value
+            attempts.hopeless = True
+            return None
         if isinstance(granted, NotOpened):
             attempts.reason = granted.failure.value
             if granted.failure is not OpenFailure.FULL:
                 attempts.excluded.add(lane.server.server_id)
                 group.note_unreachable(lane, granted.failure)
             return None
-        lane.condition.running += 1
         return granted
 
     def give_back(
         self, lane: ServerLane, link: ServerLink, broken: bool
     ) -> None:
         """Give a connection back after a statement."""
-        lane.condition.running -= 1
         if broken:
             lane.discard(link)
         else:
--- /dev/null
+++ b/packages/jackdawcrank-proxy/tests/decisions/test_events.py
@@ -0,0 +1,31 @@
+import pathlib
+import re
+
+import jackdawcrank
+from jackdawcrank.decisions.event_page import event_page
+from jackdawcrank.decisions.event_spec import EVENTS
+
+SOURCES = pathlib.Path(jackdawcrank.__file__).parent
+ROOT = pathlib.Path(__file__).parents[4]
+WRITTEN = re.compile(r'(?:\.event|\.routine|\bwrite)\(\s*"([a-z_]+)"')
+PLACES = ("relay", "decisions")
+
+
+def written_events() -> set[str]:
+    found: set[str] = set()
+    paths = [
+        path for place in PLACES for path in (SOURCES / place).glob("*.py")
+    ]
+    paths += (ROOT / "platform/src").glob("**/*.py")
+    for path in paths:
+        found |= set(WRITTEN.findall(path.read_text()))
+    return found | {"settings_reload_requested"}
+
+
+def test_every_event_is_declared_and_every_declared_one_is_written() -> None:
+    assert written_events() == {event.name for event in EVENTS}
+
+
+def test_reference_page_is_up_to_date() -> None:
+    page = ROOT / "docs/operating/decision-log.md"
+    assert page.read_text() == event_page()
