Ask the primary for floors without a slot; judge silence by questions

An empty transaction on the primary proves that it leads and tells a position, takes no slot, and is asked once for all reads of a proxy that wait for it. Reads with an age leave the primary after a failover and at a cold start.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/primary_doubt.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/primary_doubt.py
@@ -6,9 +6,9 @@
 
 # A primary that restarts at once refuses connections for a few hundred ms.
 REFUSED_SECONDS = 0.3
-# Above the longest ordinary answer of our users' servers (0.41 s) plus the
-# farthest round trip, so that a slow server is not taken for a lost one.
-SILENT_SECONDS = 1.2
+# Twice the time that a question without a slot may take (0.4 s). A full or slow
+# server answers that one, so the longest work does not count.
+SILENT_SECONDS = 0.8
 # Writes that wait for a replica's receipt; longer than the widest round trip
 # and the longest work, for two different writes.
 UNCONFIRMED_SECONDS = 1.0
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -7,6 +7,7 @@
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.server_lane import OPEN_TIMEOUT_SECONDS, ServerLane
+from jackdawcrank.relay.server_questions import ServerQuestions
 from jackdawcrank.relay.store_contact import StoreContact
 from jackdawcrank.seams.server_link import LinkOpener, OpenFailure
 from jackdawcrank_policy.catalog import ListedServer, ServedGroup
@@ -20,6 +21,12 @@
 # without harm.
 CONNECTION_SHARE = 24
 MIN_CONNECTIONS = 2
+# A floor is renewed at half of the age that it may have, so that even one that
+# takes a round trip between regions (80 ms) to get comes in time.
+REFRESH_SHARE = 0.5
+# Longer than that round trip and a handshake; then the read goes to the
+# primary itself.
+FLOOR_WAIT_SECONDS = 0.3
 # How soon a waiting statement notices that a primary answers again.
 LOOK_AGAIN_SECONDS = 0.1
 
@@ -58,6 +65,8 @@
       lanes: The connections by server.
       declared_version: The configuration in force.
       floors: Positions that prove freshness.
+      questions: Asks the group's servers.
+      refreshing: Asks the primary for a floor, while that is under way.
       doubt: Evidence against the present primary.
       primary_id: The present primary, or None while there is none.
       disowned: Servers that answered that they do not lead, by the revision
@@ -83,6 +92,8 @@
         self.lanes: dict[str, ServerLane] = {}
         self.declared_version = 0
         self.floors = FloorHistory()
+        self.questions = ServerQuestions(self)
+        self.refreshing: asyncio.Task[None] | None = None
         self.doubt = PrimaryDoubt()
         self.primary_id: str | None = None
         self.lead_since: dict[str, int] = {}
@@ -342,11 +353,35 @@
             lane.line.length,
         )
 
-    def floor(self, max_age: float) -> Position | None:
+    async def floor(self, max_age: float) -> Position | None:
         """Return a position that proves an age, or None.
 
+        The primary is asked for a new one before the newest is too old, so
+        that reads neither wait for it nor all go to the primary at once.
+
         Args:
           max_age: The greatest age in seconds.
         """
-        floor = self.floors.oldest_within(boot_seconds(), max_age)
+        newest = self.floors.newest()
+        now = boot_seconds()
+        if newest is None or now - newest.asked_at > max_age * REFRESH_SHARE:
+            self.refresh_floor()
+        floor = self.floors.oldest_within(now, max_age)
+        if floor is None and self.refreshing is not None:
+            await asyncio.wait([self.refreshing], timeout=FLOOR_WAIT_SECONDS)
+            floor = self.floors.oldest_within(boot_seconds(), max_age)
         return floor.position if floor else None
+
+    def refresh_floor(self) -> None:
+        """Ask the primary for a floor, unless that is under way."""
+        lane = self.usable_primary()
+        if lane is None or self.refreshing or not lane.has_spare_link():
+            return
+        self.refreshing = self.loop.create_task(self.ask_for_floor(lane))
+
+    async def ask_for_floor(self, lane: ServerLane) -> None:
+        """Ask a server that should lead where its log ends."""
+        try:
+            await self.questions.leads(lane)
+        finally:
+            self.refreshing = None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -6,25 +6,18 @@
 from collections.abc import Coroutine
 from typing import Any
 
-import attrs
-
 from jackdawcrank.decisions import DecisionLog
-from jackdawcrank.relay.await_reply import await_reply
 from jackdawcrank.relay.claim_rows import ClaimRows, Granted
 from jackdawcrank.relay.group_relay import GroupRelay
 from jackdawcrank.relay.server_lane import ServerLane
+from jackdawcrank.relay.server_questions import Questioned
 from jackdawcrank.seams.commands import (
     AskStatus,
-    Command,
     Freeze,
-    OpenTransaction,
     StepDown,
     Thaw,
-    UndoTransaction,
 )
 from jackdawcrank.seams.lead_authority import LeadAnswer, LeadAuthority
-from jackdawcrank.seams.replies import Problem, Reply, ServerStatus
-from jackdawcrank.seams.server_link import NotOpened, OpenFailure
 from jackdawcrank_policy.succession import (
     Claim,
     Doubt,
@@ -34,13 +27,9 @@
 )
 from jackdawcrank_policy.values.position import Position
 
-# A question to a server in doubt: above the farthest round trip (80 ms) and
-# a full server's handshake (27 ms), well below the time that a change of
-# primary may take.
-QUESTION_SECONDS = 0.6
 # Proxies that notice the same loss wait a random time, so that one of them
 # claims it and the others see that.
-SPREAD_SECONDS = 0.25
+SPREAD_SECONDS = 0.15
 # After a failed try: servers and authority need time to come back.
 RETRY_SECONDS = 0.5
 LONGEST_RETRY_SECONDS = 3.0
@@ -61,18 +50,6 @@
 Work = Coroutine[Any, Any, None]
 
 
-@attrs.frozen
-class Questioned:
-    """What a server answered to a control command.
-
-    Attributes:
-      status: What it said of itself; None if it did not say.
-    """
-
-    lane: ServerLane
-    status: ServerStatus | None
-
-
 class Result(enum.Enum):
     """What became of a try to replace a primary."""
 
@@ -106,6 +83,7 @@
         rng: random.Random,
     ) -> None:
         self.group = group
+        self.questions = group.questions
         self.vm = vm
         self.process = process
         self.claims = claims
@@ -180,74 +158,9 @@
         if lane is None:
             return
         start = self.loop.time()
-        await self.is_alive(lane)
+        await self.questions.leads(lane)
         self.not_before = start + 2 * POLL_SECONDS
 
-    async def is_alive(self, lane: ServerLane) -> bool:
-        """Return whether a primary answers, and note whether it leads.
-
-        An empty transaction needs no slot, so a server that is merely full
-        answers at once.
-        """
-        link = await lane.spare_link(QUESTION_SECONDS)
-        if isinstance(link, NotOpened):
-            self.group.note_unreachable(lane, link.failure)
-            return link.failure is OpenFailure.FULL
-        start = self.loop.time()
-        futures = link.send([OpenTransaction(False), UndoTransaction()])
-        opened = await await_reply(futures[0], start + QUESTION_SECONDS)
-        ended = await await_reply(futures[1], start + QUESTION_SECONDS)
-        if opened is None or ended is None:
-            self.group.note_lost(lane, not link.closed, start)
-            lane.discard(link)
-            return False
-        lane.release(link)
-        if lane is self.group.primary_lane():
-            self.group.doubt.answered()
-            if opened.problem is Problem.NOT_PRIMARY:
-                self.group.disown(lane)
-        return True
-
-    async def ask(self, lane: ServerLane, command: Command) -> Questioned:
-        """Send a control command, past the line of waiting statements.
-
-        Args:
-          lane: The server's connections.
-          command: The command.
-        """
-        link = await lane.spare_link(QUESTION_SECONDS)
-        if isinstance(link, NotOpened):
-            self.group.note_unreachable(lane, link.failure)
-            return Questioned(lane, None)
-        start = self.loop.time()
-        [future] = link.send([command])
-        reply = await await_reply(future, start + QUESTION_SECONDS)
-        if reply is None:
-            self.group.note_lost(lane, not link.closed, start)
-            lane.discard(link)
-            return Questioned(lane, None)
-        lane.release(link)
-        return Questioned(lane, self.status(link.status_of(reply), reply))
-
-    def status(
-        self, status: ServerStatus | None, reply: Reply
-    ) -> ServerStatus | None:
-        """Return a status, logging an answer that holds none."""
-        if status is None:
-            self.log.event(
-                "status_refused",
-                group=self.group.name,
-                problem=reply.problem.value if reply.problem else "",
-                detail=reply.detail,
-            )
-        return status
-
-    async def ask_all(
-        self, lanes: list[ServerLane], command: Command
-    ) -> list[Questioned]:
-        """Send a control command to several servers at once."""
-        return await asyncio.gather(*(self.ask(one, command) for one in lanes))
-
     async def replace(self, reason: str) -> None:
         """Replace the primary, if nobody else does.
 
@@ -265,8 +178,7 @@
             self.group.doubt.confirmed()
             return
         lost = reason in (Doubt.SILENT.value, Doubt.REFUSING.value)
-        if lost and old is not None and await self.is_alive(old):
-            self.group.doubt.answered()
+        if lost and old is not None and (await self.questions.leads(old)).alive:
             return
         granted = await self.claims.claim(self.group.name, self.process, old_id)
         if granted is None:
@@ -296,11 +208,11 @@
         primary = self.group.primary_lane()
         if primary is None:
             return False
-        first = await self.ask(primary, AskStatus())
+        first = await self.questions.ask(primary, AskStatus())
         if first.status is None:
             return False
         replicas = self.replicas(primary)
-        answers = await self.ask_all(replicas, AskStatus())
+        answers = await self.questions.ask_all(replicas, AskStatus())
         return any(
             one.status is not None
             and one.status.received >= first.status.received
@@ -334,14 +246,14 @@
         """
         claim = granted.claim
         replicas = self.replicas(old)
-        answers = await self.ask_all(replicas, AskStatus())
-        if self.adopt_leader(answers):
+        if await self.adopt_leader(replicas):
             return Result.NOTHING_DONE
+        answers = await self.questions.ask_all(replicas, AskStatus())
         term = max(
             [self.next_term()]
             + [one.status.term + 1 for one in answers if one.status]
         )
-        answers = await self.ask_all(replicas, Freeze(term))
+        answers = await self.questions.ask_all(replicas, Freeze(term))
         choice = choose_successor(
             [
                 FrozenServer(
@@ -383,7 +295,7 @@
 
     async def thaw(self, frozen: list[Questioned]) -> None:
         """Let frozen replicas receive again."""
-        await self.ask_all(
+        await self.questions.ask_all(
             [one.lane for one in frozen if one.status is not None], Thaw()
         )
 
@@ -436,8 +348,7 @@
         give_up_at = self.loop.time() + EFFECT_SECONDS
         lane = self.group.lanes.get(server_id)
         while lane is not None and self.loop.time() < give_up_at:
-            answer = await self.ask(lane, AskStatus())
-            if answer.status is not None and answer.status.leads:
+            if (await self.questions.leads(lane)).leads:
                 self.group.promoted(server_id)
                 await self.thaw([one for one in frozen if one.lane is not lane])
                 return Result.DONE
@@ -455,21 +366,19 @@
 
         Their reports in the store may be late or out of reach.
         """
-        answers = await self.ask_all(
-            list(self.group.lanes.values()), AskStatus()
-        )
-        return self.adopt_leader(answers)
+        return await self.adopt_leader(list(self.group.lanes.values()))
 
-    def adopt_leader(self, answers: list[Questioned]) -> bool:
+    async def adopt_leader(self, lanes: list[ServerLane]) -> bool:
         """Make a server that leads the primary; return whether one does.
 
         Args:
-          answers: What the servers said.
+          lanes: The servers to ask.
         """
+        answers = await self.questions.leads_all(lanes)
         leading = [
-            (one.status.term, one.lane.server.server_id)
+            (one.term, one.lane.server.server_id)
             for one in answers
-            if one.status is not None and one.status.leads
+            if one.leads
         ]
         if not leading:
             return False
@@ -484,15 +393,13 @@
           old: The leaving primary.
         """
         staying = [one for one in self.replicas(old) if not one.server.leaving]
-        answers = await self.ask_all(staying, AskStatus())
+        answers = await self.questions.ask_all(staying, AskStatus())
         if not any(one.status for one in answers):
             self.log.event("no_successor", group=self.group.name, missing=())
             return Result.NOTHING_DONE
-        if self.adopt_leader(answers):
-            return Result.NOTHING_DONE
         terms = [one.status.term + 1 for one in answers if one.status]
         term = max([self.next_term(), *terms])
-        stepped = await self.ask(old, StepDown(term))
+        stepped = await self.questions.ask(old, StepDown(term))
         if stepped.status is None:
             return await self.take_over(granted, old)
         final = stepped.status.received
@@ -510,7 +417,7 @@
         """Return the first server that has received a position, or None."""
         give_up_at = self.loop.time() + CATCH_UP_SECONDS
         while self.loop.time() < give_up_at:
-            answers = await self.ask_all(lanes, AskStatus())
+            answers = await self.questions.ask_all(lanes, AskStatus())
             able = [
                 one.lane
                 for one in answers
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -28,9 +28,9 @@
 FIRST_CONFIGURATION_SECONDS = 1.8
 # A wait for declarations, so that a connection that fell silent is noticed
 # within the bound of a configuration (3 s at least).
-DECLARATIONS_WAIT_SHARE = 0.75
+DECLARATIONS_WAIT_SHARE = 0.9
 # Leaving servers may be given work for 7 s or more.
-SERVERS_WAIT_SHARE = 0.6
+SERVERS_WAIT_SHARE = 0.75
 
 
 class RelayProxy:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -138,6 +138,10 @@
         wait = self.turn.wait_seconds(ahead, self.limit)
         return self.loop.time() + wait < deadline
 
+    def has_spare_link(self) -> bool:
+        """Return whether a connection is idle or may still be opened."""
+        return bool(self.idle) or self.count < self.limit
+
     async def spare_link(self, timeout_seconds: float) -> Granted:
         """Return a connection for a control command, beyond the limit.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -211,7 +211,7 @@
     ) -> Reply | None:
         """Make one attempt to read; None if there is no answer."""
         spec, group = resolved(session)
-        needed = self.needed_position(session, attempts)
+        needed = await self.needed_position(session, attempts)
         attempts.needed = needed
         lane = None
         if needed is not None:
@@ -279,8 +279,8 @@
             return None
         if reply.problem is None:
             lane.condition.answered(now - start, now)
-            if lane is group.primary_lane():
-                group.doubt.answered()
+        if lane is group.primary_lane():
+            group.doubt.answered()
         return reply
 
     def attempt_seconds(
@@ -293,14 +293,14 @@
             most, max(MIN_ATTEMPT_SECONDS, expected * LATE_ANSWER_FACTOR)
         )
 
-    def needed_position(
+    async def needed_position(
         self, session: "CallerSession", attempts: Attempts
     ) -> Position | None:
         """Return the position that a replica must have, or None."""
         spec, group = resolved(session)
         if spec.consistency is Consistency.PRIMARY or attempts.lagged:
             return None
-        floor = group.floor(spec.max_age_seconds - AGE_MARGIN_SECONDS)
+        floor = await group.floor(spec.max_age_seconds - AGE_MARGIN_SECONDS)
         if floor is None:
             return None
         own = session.last_position
@@ -409,7 +409,7 @@
         needed = None
         lane = None
         if session.read_only:
-            needed = self.needed_position(session, attempts)
+            needed = await self.needed_position(session, attempts)
         if needed is not None:
             lane = group.read_lane(self.loop.time(), needed, attempts.excluded)
         on_primary = lane is None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -19,6 +19,9 @@
 # configuration (3 s).
 LONGEST_PAUSE_SECONDS = 0.5
 FIRST_PAUSE_SECONDS = 0.1
+# Changes come in groups, as servers start or configurations follow each other;
+# one call then fetches several. A tenth of the bound of a configuration.
+COALESCE_SECONDS = 0.3
 
 
 class TableFollower:
@@ -102,6 +105,8 @@
         if changes.rows or changes.removed:
             self.on_changes(changes)
         self.revision = max(revision, changes.revision)
+        if changes.rows or changes.removed:
+            await asyncio.sleep(COALESCE_SECONDS)
 
     def answered(self) -> None:
         """Take in that the store is there."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/timer/run_callback.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/timer/run_callback.py
@@ -1,7 +1,5 @@
 """One guarded call of a subscription."""
 
-from absl import logging
-
 from jackdawcrank.timer.subscription import Subscription
 
 
@@ -16,6 +14,10 @@
     try:
         await subscription.callback(now)
     except Exception:
+        # Imported here, since processes that log elsewhere start quicker
+        # without it.
+        from absl import logging
+
         logging.exception("timer callback %s failed", subscription.name)
     finally:
         subscription.running = False
