--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/__init__.py
@@ -1,6 +1,20 @@
 """Choice of the proxies that hold a group's backend connections."""
 
 from jackdawcrank_policy.homes.home_index import HomeIndex
+from jackdawcrank_policy.homes.home_plan import (
+    HomePlan,
+    plan_homes,
+    region_homes,
+)
 from jackdawcrank_policy.homes.home_vms import home_count, home_vms
+from jackdawcrank_policy.homes.member import Member
 
-__all__ = ["HomeIndex", "home_count", "home_vms"]
+__all__ = [
+    "HomeIndex",
+    "HomePlan",
+    "Member",
+    "home_count",
+    "home_vms",
+    "plan_homes",
+    "region_homes",
+]
--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/home_plan.py
@@ -0,0 +1,75 @@
+"""How many homes a group has, and which.
+
+Answers the size of a deployment: with few VMs each one connects to every
+server; with many, each region has a few homes that share the servers' limits
+on connections, and the others forward to them.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from jackdawcrank_policy.homes.home_vms import rank
+from jackdawcrank_policy.homes.member import Member
+
+# With fewer connections than this to a server, transactions of one VM wait for
+# each other: on our users' sites a VM has up to two at a time, and a read.
+MIN_CONNECTIONS = 3
+# More than a server's slots (3 to 6) make no statement quicker, and a
+# transaction holds one while its caller pauses.
+HOME_CONNECTIONS = 8
+# One home of a region may be lost or leave.
+MIN_HOMES = 2
+# Before other VMs are known: 15 to 21 of them, and up to 6 that are added.
+EXPECTED_VMS = 24
+
+
+@attrs.frozen
+class HomePlan:
+    """How one group's connections are shared.
+
+    Attributes:
+      everywhere: Whether every VM is a home.
+      per_region: Homes of a region, if not.
+      connections: Connections that one home may hold to one server.
+    """
+
+    everywhere: bool
+    per_region: int
+    connections: int
+
+
+def plan_homes(limit: int, vms: int, regions: int) -> HomePlan:
+    """Return how a group's connections are shared.
+
+    Args:
+      limit: Connections that one server takes.
+      vms: VMs that may be homes; 0 while they are not known.
+      regions: Regions that they stand in.
+    """
+    share = limit // (vms or EXPECTED_VMS)
+    if share >= MIN_CONNECTIONS or not vms:
+        return HomePlan(True, 0, max(MIN_CONNECTIONS, share))
+    per_region = limit // (max(1, regions) * HOME_CONNECTIONS)
+    per_region = max(MIN_HOMES, per_region)
+    connections = limit // (max(1, regions) * per_region)
+    return HomePlan(False, per_region, max(1, connections))
+
+
+def region_homes(
+    group: str, members: Iterable[Member], count: int
+) -> tuple[Member, ...]:
+    """Return a region's VMs in the order in which they are homes of a group.
+
+    Larger VMs come first; among equals, rendezvous hashing decides.
+
+    Args:
+      group: The group.
+      members: The region's VMs.
+      count: How many homes there are.
+    """
+    ranked = sorted(
+        members,
+        key=lambda one: (-one.capacity, -rank(group, one.vm), one.vm),
+    )
+    return tuple(ranked[:count])
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -251,6 +251,40 @@
         "a server did not say how it stands",
         {**GROUP, "problem": "the problem", "detail": "what it said"},
     ),
+    EventSpec(
+        "members_read",
+        "the VMs that may be homes have changed",
+        {"count": "how many there are"},
+    ),
+    EventSpec(
+        "members_unread",
+        "the VMs' rows could not be read",
+        {"detail": "why"},
+    ),
+    EventSpec(
+        "member_unreadable",
+        "a VM's row cannot be read; the VM is left out",
+        {"key": "the row", "detail": "why"},
+    ),
+    EventSpec(
+        "home_unreachable",
+        "no stream to a home could be opened",
+        {"home": "the home's VM"},
+    ),
+    EventSpec(
+        "home_lost",
+        "a home did not answer a forwarded statement",
+        {
+            **REQUEST,
+            "database": "the database",
+            "outcome": "the problem that the caller was told",
+        },
+    ),
+    EventSpec(
+        "peer_message_unreadable",
+        "another proxy sent what is no message; its stream was ended",
+        {"detail": "why"},
+    ),
     EventSpec(
         "lines_dropped",
         "lines were left out since the last such line",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
@@ -1,13 +1,14 @@
 """One caller's session."""
 
+import asyncio
 import functools
 
 import attrs
 
 from jackdawcrank.relay.execution import Execution
 from jackdawcrank.relay.group_relay import GroupRelay
-from jackdawcrank.relay.open_transaction import OpenTransaction
-from jackdawcrank.relay.statement_runner import StatementRunner
+from jackdawcrank.relay.resolver import Resolver
+from jackdawcrank.relay.transaction_view import Runner, Transaction
 from jackdawcrank.seams.replies import Problem, Reply, SessionState
 from jackdawcrank.seams.statements import (
     AssignValue,
@@ -36,6 +37,7 @@
 
     Attributes:
       database: The database that it named on connecting.
+      directory: Finds its database.
       runner: Runs its statements.
       memory: Its session values and prepared names.
       state: Where it stands.
@@ -49,11 +51,12 @@
     """
 
     database: str
-    runner: StatementRunner
+    directory: Resolver
+    runner: Runner
     memory: SessionMemory = attrs.Factory(SessionMemory)
     state: SessionState = SessionState.IDLE
     last_position: Position | None = None
-    transaction: OpenTransaction | None = None
+    transaction: Transaction | None = None
     read_only: bool = False
     spec: DatabaseSpec | None = None
     group: GroupRelay | None = None
@@ -74,7 +77,7 @@
             return await handle(statement, self, request_id)
         finally:
             self.busy = False
-            self.active_at = self.runner.loop.time()
+            self.active_at = asyncio.get_running_loop().time()
 
     def after_failure(self, statement: Statement) -> Reply:
         """Answer while only ending the transaction is possible."""
@@ -111,7 +114,7 @@
 
     def resolve(self) -> bool:
         """Find the database's declaration; return whether there is one."""
-        found = self.runner.directory.resolve(self.database)
+        found = self.directory.resolve(self.database)
         if found is None:
             return False
         self.spec, self.group = found
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
@@ -1,9 +1,11 @@
 """The declarations in force and the servers that are listed."""
 
 import asyncio
+from collections.abc import Callable
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.group_relay import GroupRelay, Whereabouts
+from jackdawcrank.relay.homes import Homes
 from jackdawcrank.relay.store_contact import StoreContact
 from jackdawcrank.seams.declaration_source import DeclarationFormat
 from jackdawcrank.seams.metadata_store import StoredRow, TableChanges
@@ -27,7 +29,9 @@
       servers: The servers by the key of their report.
       groups: The groups that databases use.
       servers_known: Whether the servers were read at least once.
-      ready: Set once statements can be placed.
+      servers_seen: Set once they were.
+      stored: Told of each version's row.
+      ready: Set once databases are known.
     """
 
     def __init__(
@@ -36,18 +40,22 @@
         opener: LinkOpener,
         whereabouts: Whereabouts,
         contact: StoreContact,
+        homes: Homes,
         log: DecisionLog,
     ) -> None:
         self.form = form
         self.opener = opener
         self.whereabouts = whereabouts
         self.contact = contact
+        self.homes = homes
         self.log = log
         self.declarations: Declarations | None = None
         self.servers: dict[str, ListedServer] = {}
         self.missing: dict[str, asyncio.TimerHandle] = {}
         self.groups: dict[str, GroupRelay] = {}
         self.servers_known = False
+        self.servers_seen = asyncio.Event()
+        self.stored: Callable[[StoredRow], None] | None = None
         self.ready = asyncio.Event()
         self.loop = asyncio.get_running_loop()
 
@@ -94,6 +102,8 @@
         if not declarations.supersedes(self.declarations):
             return
         self.declarations = declarations
+        if self.stored is not None:
+            self.stored(row)
         self.log.event(
             "configuration_in_force",
             version=declarations.version,
@@ -109,6 +119,7 @@
           rows: Its rows.
         """
         self.servers_known = True
+        self.servers_seen.set()
         for key in self.servers.keys() - {row.key for row in rows}:
             self.went_missing(key)
         for row in rows:
@@ -166,7 +177,7 @@
 
     def regroup(self) -> None:
         """Hand each group the servers that it has now."""
-        if self.declarations is None or not self.servers_known:
+        if self.declarations is None:
             return
         for name, group in self.declarations.groups.items():
             present = self.groups.get(name)
@@ -176,6 +187,7 @@
                     self.opener,
                     self.whereabouts,
                     self.contact,
+                    self.homes,
                     self.log,
                 )
             else:
@@ -191,7 +203,9 @@
     def cut_off(self) -> bool:
         """Return whether callers are better served by another proxy."""
         return self.contact.lost and any(
-            group.usable_primary() is None for group in self.groups.values()
+            group.usable_primary() is None
+            for group in self.groups.values()
+            if self.homes.is_home(group.group)
         )
 
     async def close(self) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -6,6 +6,7 @@
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.clocks import boot_seconds
+from jackdawcrank.relay.homes import Homes
 from jackdawcrank.relay.server_lane import OPEN_TIMEOUT_SECONDS, ServerLane
 from jackdawcrank.relay.server_questions import ServerQuestions
 from jackdawcrank.relay.store_contact import StoreContact
@@ -16,11 +17,6 @@
 from jackdawcrank_policy.succession import Doubt, PrimaryDoubt
 from jackdawcrank_policy.values.position import Position
 
-# A server's connection limit is shared by the proxies, 15 to 21 on our users'
-# sites and up to 6 more on a day when VMs are added. A full server refuses
-# without harm.
-CONNECTION_SHARE = 24
-MIN_CONNECTIONS = 2
 # A floor is renewed at half of the age that it may have, so that even one that
 # takes a round trip between regions (80 ms) to get comes in time.
 REFRESH_SHARE = 0.5
@@ -71,6 +67,7 @@
       primary_id: The present primary, or None while there is none.
       disowned: Servers that answered that they do not lead, by the revision
         of the report that claims it.
+      homes: How the servers' connections are shared.
       contact: Whether the store can be reached.
       changed: Set and replaced whenever the primary changes.
     """
@@ -81,8 +78,10 @@
         opener: LinkOpener,
         whereabouts: Whereabouts,
         contact: StoreContact,
+        homes: Homes,
         log: DecisionLog,
     ) -> None:
+        self.homes = homes
         self.contact = contact
         self.group = group
         self.name = group.name
@@ -160,8 +159,7 @@
 
     def connection_limit(self) -> int:
         """Return the connections of one server that this proxy may hold."""
-        share = self.group.connection_limit // CONNECTION_SHARE
-        return max(MIN_CONNECTIONS, share)
+        return self.homes.plan(self.group).connections
 
     def settle_primary(self) -> None:
         """Decide which server leads, from reports and answers."""
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/homes.py
@@ -0,0 +1,86 @@
+"""Which proxies hold a group's connections."""
+
+from jackdawcrank.relay.member_rows import MemberRows
+from jackdawcrank_policy.catalog import ServedGroup
+from jackdawcrank_policy.homes import (
+    HomePlan,
+    Member,
+    plan_homes,
+    region_homes,
+)
+from jackdawcrank_policy.homes.home_vms import rank
+
+
+class Homes:
+    """Answers from the VMs that are known now.
+
+    Attributes:
+      rows: Knows the VMs.
+    """
+
+    def __init__(self, rows: MemberRows) -> None:
+        self.rows = rows
+        self.planned_for: dict[str, Member] = {}
+        self.orders: dict[str, tuple[Member, ...]] = {}
+
+    def plan(self, group: ServedGroup) -> HomePlan:
+        """Return how a group's connections are shared.
+
+        Args:
+          group: The group.
+        """
+        members = self.rows.members
+        if not self.rows.known or len(members) < 2:
+            return plan_homes(group.connection_limit, 0, 0)
+        regions = {one.region for one in members.values()}
+        return plan_homes(group.connection_limit, len(members), len(regions))
+
+    def order(self, group: ServedGroup) -> tuple[Member, ...]:
+        """Return the VMs of this region, best home of a group first.
+
+        Args:
+          group: The group.
+        """
+        members = self.rows.members
+        if members is not self.planned_for:
+            self.planned_for = members
+            self.orders = {}
+        found = self.orders.get(group.name)
+        if found is None:
+            region = self.rows.own.region
+            near = [one for one in members.values() if one.region == region]
+            found = region_homes(group.name, near, len(near))
+            self.orders[group.name] = found
+        return found
+
+    def is_home(self, group: ServedGroup) -> bool:
+        """Return whether this VM is one of a group's homes.
+
+        Args:
+          group: The group.
+        """
+        plan = self.plan(group)
+        if plan.everywhere:
+            return True
+        homes = self.order(group)[: plan.per_region]
+        return any(one.vm == self.rows.own.vm for one in homes)
+
+    def choices(self, group: ServedGroup) -> list[Member]:
+        """Return the VMs to forward a group's statements to, best first.
+
+        Homes come before the VMs that would follow them; those in this data
+        centre come first, and this VM's name spreads the rest.
+
+        Args:
+          group: The group.
+        """
+        own = self.rows.own
+        plan = self.plan(group)
+        order = self.order(group)
+
+        def preference(member: Member) -> tuple[bool, int]:
+            away = member.data_center != own.data_center
+            return away, -rank(own.vm, member.vm)
+
+        homes = sorted(order[: plan.per_region], key=preference)
+        return [*homes, *order[plan.per_region : 2 * plan.per_region]]
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/leaving.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/leaving.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.home_server import HomeServer
 from jackdawcrank.seams.caller_front import CallerFront
 from jackdawcrank.seams.replies import SessionState
 
@@ -20,14 +21,20 @@
 
     Attributes:
       front: Accepts callers.
+      home_server: Runs what other proxies forward.
       grace_seconds: From the signal to the kill.
       begun: Whether the process is leaving.
     """
 
     def __init__(
-        self, front: CallerFront, grace_seconds: float, log: DecisionLog
+        self,
+        front: CallerFront,
+        home_server: HomeServer,
+        grace_seconds: float,
+        log: DecisionLog,
     ) -> None:
         self.front = front
+        self.home_server = home_server
         self.grace_seconds = grace_seconds
         self.log = log
         self.begun = False
@@ -37,6 +44,7 @@
         self.begun = True
         loop = asyncio.get_running_loop()
         start = loop.time()
+        self.home_server.leave()
         self.log.event("leaving", sessions=len(self.front.sessions()))
         await asyncio.sleep(
             min(BALANCER_SECONDS, self.grace_seconds * TRANSACTION_SHARE)
@@ -44,7 +52,7 @@
         give_up_at = start + self.grace_seconds - RESERVE_SECONDS
         while loop.time() < give_up_at:
             self.front.close_idle()
-            if not self.front.sessions():
+            if not self.front.sessions() and not self.home_server.busy():
                 break
             await asyncio.sleep(POLL_SECONDS)
         open_transactions = sum(
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -11,12 +11,12 @@
     setup_commands,
 )
 from jackdawcrank.relay.server_lane import ServerLane
+from jackdawcrank.relay.session_view import SessionView
 from jackdawcrank.seams.commands import Command, ForwardCommit, UndoTransaction
 from jackdawcrank.seams.replies import Problem, Reply, SessionState
 from jackdawcrank.seams.server_link import ServerLink
 
 if typing.TYPE_CHECKING:
-    from jackdawcrank.relay.caller_session import CallerSession
     from jackdawcrank.relay.group_relay import GroupRelay
 
 # A rollback needs no slot; a server that does not answer it is silent.
@@ -54,9 +54,7 @@
         self.ended = False
         self.loop = asyncio.get_running_loop()
 
-    async def run(
-        self, session: "CallerSession", execution: Execution
-    ) -> Reply:
+    async def run(self, session: SessionView, execution: Execution) -> Reply:
         """Run a statement of the transaction.
 
         Args:
@@ -140,7 +138,7 @@
             detail="the server did not answer; the transaction is rolled back",
         )
 
-    async def commit(self, session: "CallerSession", request_id: str) -> Reply:
+    async def commit(self, session: SessionView, request_id: str) -> Reply:
         """Commit, and give the connection back.
 
         Args:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -3,15 +3,20 @@
 import asyncio
 import os
 import random
+from collections.abc import Callable
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.caller_session import CallerSession
 from jackdawcrank.relay.claim_rows import ClaimRows
 from jackdawcrank.relay.directory import Directory
 from jackdawcrank.relay.group_relay import Whereabouts
+from jackdawcrank.relay.home_router import HomeRouter
+from jackdawcrank.relay.home_server import HomeServer
+from jackdawcrank.relay.homes import Homes
 from jackdawcrank.relay.idle_transactions import IdleTransactions
 from jackdawcrank.relay.lane_care import LaneCare
 from jackdawcrank.relay.leaving import Leaving
+from jackdawcrank.relay.member_rows import MemberRows
 from jackdawcrank.relay.relay_settings import RelaySettings
 from jackdawcrank.relay.statement_runner import StatementRunner
 from jackdawcrank.relay.store_contact import StoreContact
@@ -23,6 +28,7 @@
 from jackdawcrank.seams.metadata_store import MetadataStore
 from jackdawcrank.seams.server_link import LinkOpener
 from jackdawcrank.timer import TimerService
+from jackdawcrank_policy.homes import Member
 
 # Callers give up on connecting after 2 s.
 FIRST_CONFIGURATION_SECONDS = 1.8
@@ -52,21 +58,38 @@
         authority: LeadAuthority,
         front: CallerFront,
         log: DecisionLog,
+        notice_dead_peer: Callable[[asyncio.BaseTransport], None],
     ) -> None:
         rng = random.Random()
         self.settings = settings
         self.log = log
         self.front = front
         self.timer = TimerService()
-        contact = StoreContact(log)
+        self.contact = StoreContact(log)
+        self.members = MemberRows(store, own_member(settings), log, rng)
+        self.homes = Homes(self.members)
         self.directory = Directory(
             form,
             opener,
             Whereabouts(settings.data_center, settings.regions),
-            contact,
+            self.contact,
+            self.homes,
             log,
         )
-        self.runner = StatementRunner(self.directory, log)
+        runner = StatementRunner(self.directory, log)
+        self.router = HomeRouter(
+            runner, self.homes, log, self.directory.declared, notice_dead_peer
+        )
+        self.home_server = HomeServer(
+            settings.host,
+            settings.peer_port,
+            runner,
+            self.directory,
+            log,
+            notice_dead_peer,
+            lambda: not self.contact.lost and self.must_follow_declarations(),
+        )
+        self.directory.stored = self.home_server.declarations_stored
         self.followers = [
             TableFollower(
                 store,
@@ -74,9 +97,10 @@
                 settings.configuration_seconds * DECLARATIONS_WAIT_SHARE,
                 self.directory.declarations_read,
                 self.directory.declarations_changed,
-                contact,
+                self.contact,
                 log,
                 rng,
+                self.must_follow_declarations,
             ),
             TableFollower(
                 store,
@@ -84,9 +108,10 @@
                 settings.drain_seconds * SERVERS_WAIT_SHARE,
                 self.directory.servers_read,
                 self.directory.servers_changed,
-                contact,
+                self.contact,
                 log,
                 rng,
+                self.must_follow_servers,
             ),
         ]
         # A restarted process must not take its predecessor's claim for its
@@ -96,22 +121,45 @@
             self.directory,
             settings.vm,
             process,
-            ClaimRows(store, contact, log),
+            ClaimRows(store, self.contact, log),
             authority,
             log,
             rng,
         )
         self.lane_care = LaneCare(self.directory)
         self.idle_transactions = IdleTransactions(self.directory, front, log)
-        self.leaving = Leaving(front, settings.stop_grace_seconds, log)
+        self.leaving = Leaving(
+            front, self.home_server, settings.stop_grace_seconds, log
+        )
+
+    def is_home(self) -> bool:
+        """Return whether this proxy is a home of any group."""
+        declarations = self.directory.declarations
+        if declarations is None:
+            return False
+        return any(
+            self.homes.is_home(group) for group in declarations.groups.values()
+        )
+
+    def must_follow_declarations(self) -> bool:
+        """Return whether no home keeps the declarations here up to date."""
+        if self.directory.declarations is None or self.is_home():
+            return True
+        return not self.router.vouched()
+
+    def must_follow_servers(self) -> bool:
+        """Return whether statements may be run from here."""
+        return self.home_server.wanted.is_set() or self.is_home()
 
     async def start(self) -> None:
         """Begin to follow the store and to accept callers."""
         self.log.event("started", data_center=self.settings.data_center)
         await self.timer.start()
         await self.log.start(self.timer)
+        await self.members.start(self.timer)
         for follower in self.followers:
             await follower.start()
+        await self.home_server.start(self.timer)
         await self.front.start(self)
         await self.lane_care.start(self.timer)
         await self.idle_transactions.start(self.timer)
@@ -128,14 +176,17 @@
         """
         async with asyncio.timeout(FIRST_CONFIGURATION_SECONDS):
             await self.directory.ready.wait()
+            if self.is_home():
+                await self.directory.servers_seen.wait()
         if self.directory.resolve(database) is None:
             return None
-        return CallerSession(database, self.runner)
+        return CallerSession(database, self.directory, self.router)
 
     def readiness(self) -> bool:
         """Return whether new callers should be sent here."""
         return (
             self.directory.ready.is_set()
+            and (self.directory.servers_known or not self.is_home())
             and not self.leaving.begun
             and not self.directory.cut_off()
         )
@@ -149,9 +200,28 @@
         """Close every part."""
         await self.succession.close()
         await self.front.close()
+        await self.members.close()
+        await self.router.close()
+        await self.home_server.close()
         for follower in self.followers:
             await follower.close()
         await self.directory.close()
         self.log.event("stopped")
         await self.log.close()
         await self.timer.close()
+
+
+def own_member(settings: RelaySettings) -> Member:
+    """Return this VM as others see it.
+
+    Args:
+      settings: The process's settings.
+    """
+    return Member(
+        settings.vm,
+        settings.host,
+        settings.peer_port,
+        settings.data_center,
+        settings.regions.get(settings.data_center, settings.data_center),
+        settings.capacity,
+    )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_settings.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_settings.py
@@ -14,6 +14,9 @@
       drain_seconds: How long a leaving server may still be given work.
       stop_grace_seconds: How long the process has to end after a signal.
       configuration_seconds: In what time a configuration must be in force.
+      host: This VM's address.
+      peer_port: Where other proxies connect.
+      capacity: Cores that this VM may use.
     """
 
     vm: str
@@ -22,3 +25,6 @@
     drain_seconds: float
     stop_grace_seconds: float
     configuration_seconds: float
+    host: str
+    peer_port: int
+    capacity: float
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/remote_transaction.py
@@ -0,0 +1,117 @@
+"""A transaction that runs at a home."""
+
+import asyncio
+
+from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.execution import Execution
+from jackdawcrank.relay.home_messages import Kind, encode_execution, pack
+from jackdawcrank.relay.home_stream import HomeAnswer, HomeLost, HomeStream
+from jackdawcrank.relay.session_view import SessionView
+from jackdawcrank.seams.replies import Problem, Reply
+from jackdawcrank_policy.catalog import DatabaseSpec
+
+# For the way to the home and back, as for single statements.
+HOME_MARGIN_SECONDS = 0.2
+
+
+class RemoteTransaction:
+    """Forwards a transaction's statements to the home that opened it.
+
+    Attributes:
+      stream: The stream to the home.
+      number: The transaction's number there.
+      wrote: Whether a write was sent.
+      ended: Whether it was committed or rolled back.
+    """
+
+    def __init__(
+        self,
+        stream: HomeStream,
+        number: int,
+        spec: DatabaseSpec,
+        log: DecisionLog,
+    ) -> None:
+        self.stream = stream
+        self.number = number
+        self.timeout_seconds = (
+            spec.statement_timeout_seconds + HOME_MARGIN_SECONDS
+        )
+        self.log = log
+        self.wrote = False
+        self.ended = False
+        self.loop = asyncio.get_running_loop()
+
+    async def run(self, session: SessionView, execution: Execution) -> Reply:
+        """Run a statement of the transaction.
+
+        Args:
+          session: Whose transaction it is.
+          execution: The statement.
+        """
+        self.wrote = self.wrote or execution.writes
+        number = self.stream.next_number()
+        answer = await self.stream.call(
+            number,
+            pack(
+                number,
+                Kind.RUN_IN_TRANSACTION,
+                self.number,
+                encode_execution(execution),
+                session.memory.values,
+            ),
+            self.timeout_seconds,
+        )
+        if isinstance(answer, HomeLost):
+            return self.lost(session, execution.request_id)
+        return answer.reply
+
+    async def commit(self, session: SessionView, request_id: str) -> Reply:
+        """Commit.
+
+        Args:
+          session: Whose transaction it is.
+          request_id: The caller's id of the commit.
+        """
+        self.ended = True
+        number = self.stream.next_number()
+        answer = await self.stream.call(
+            number,
+            pack(number, Kind.COMMIT, self.number, request_id),
+            self.timeout_seconds,
+        )
+        if isinstance(answer, HomeAnswer):
+            session.saw(answer.seen)
+            return answer.reply
+        if not answer.sent or not self.wrote:
+            return self.lost(session, request_id)
+        self.note(session, request_id, Problem.IN_DOUBT)
+        return Reply(
+            problem=Problem.IN_DOUBT,
+            detail="the home did not answer the commit",
+        )
+
+    def lost(self, session: SessionView, request_id: str) -> Reply:
+        """Return that nothing was committed, since the commit was not sent."""
+        self.ended = True
+        self.note(session, request_id, Problem.ROLLED_BACK)
+        return Reply(
+            problem=Problem.ROLLED_BACK,
+            detail="the home did not answer; the transaction is rolled back",
+        )
+
+    def note(
+        self, session: SessionView, request_id: str, outcome: Problem
+    ) -> None:
+        """Log that the home was lost."""
+        self.log.event(
+            "home_lost",
+            request=request_id,
+            database=session.database,
+            outcome=outcome.value,
+        )
+
+    def undo(self) -> None:
+        """Roll back."""
+        if not self.ended:
+            self.ended = True
+            self.stream.send(pack(0, Kind.UNDO, self.number))
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -18,16 +18,15 @@
     OpenTransaction,
     give_back_after,
 )
+from jackdawcrank.relay.resolver import Resolver
 from jackdawcrank.relay.server_lane import Hopeless, ServerLane
+from jackdawcrank.relay.session_view import SessionView
 from jackdawcrank.seams import commands
 from jackdawcrank.seams.replies import NOT_RUN, Problem, Reply
 from jackdawcrank.seams.server_link import NotOpened, OpenFailure, ServerLink
 from jackdawcrank_policy.catalog import Consistency, DatabaseSpec
 from jackdawcrank_policy.values.position import Position
 
-if typing.TYPE_CHECKING:
-    from jackdawcrank.relay.caller_session import CallerSession
-
 # An answer this many times later than expected is taken for lost: our users'
 # longest work is 12 times the mean.
 LATE_ANSWER_FACTOR = 12.0
@@ -44,17 +43,6 @@
 NO_PRIMARY = "no primary"
 
 
-class Resolver(typing.Protocol):
-    """Finds what was declared of a database."""
-
-    def resolve(self, name: str) -> tuple[DatabaseSpec, GroupRelay] | None:
-        """Return a database's declaration and its group, or None.
-
-        Args:
-          name: What the caller named.
-        """
-
-
 @attrs.define
 class Attempts:
     """The attempts of one statement.
@@ -96,7 +84,7 @@
         self.loop = asyncio.get_running_loop()
 
     async def run_single(
-        self, session: "CallerSession", execution: Execution
+        self, session: SessionView, execution: Execution
     ) -> Reply:
         """Run a statement outside a transaction.
 
@@ -131,7 +119,7 @@
 
     def note(
         self,
-        session: "CallerSession",
+        session: SessionView,
         execution: Execution,
         attempts: Attempts,
         reply: Reply,
@@ -165,7 +153,7 @@
 
     async def try_write(
         self,
-        session: "CallerSession",
+        session: SessionView,
         execution: Execution,
         attempts: Attempts,
     ) -> Reply | None:
@@ -205,7 +193,7 @@
 
     async def try_read(
         self,
-        session: "CallerSession",
+        session: SessionView,
         execution: Execution,
         attempts: Attempts,
     ) -> Reply | None:
@@ -294,7 +282,7 @@
         )
 
     async def needed_position(
-        self, session: "CallerSession", attempts: Attempts
+        self, session: SessionView, attempts: Attempts
     ) -> Position | None:
         """Return the position that a replica must have, or None."""
         spec, group = resolved(session)
@@ -310,7 +298,7 @@
 
     async def read_from_primary(
         self,
-        session: "CallerSession",
+        session: SessionView,
         execution: Execution,
         attempts: Attempts,
     ) -> Reply | None:
@@ -371,7 +359,7 @@
             lane.condition.failed(now)
 
     async def begin(
-        self, session: "CallerSession", execution: Execution | None
+        self, session: SessionView, execution: Execution | None
     ) -> OpenTransaction | Reply:
         """Open a transaction on the server that fits it.
 
@@ -400,7 +388,7 @@
 
     async def try_begin(
         self,
-        session: "CallerSession",
+        session: SessionView,
         execution: Execution | None,
         attempts: Attempts,
     ) -> OpenTransaction | None:
@@ -449,7 +437,7 @@
         )
 
     async def lease_primary(
-        self, session: "CallerSession", attempts: Attempts
+        self, session: SessionView, attempts: Attempts
     ) -> tuple[ServerLane, ServerLink] | None:
         """Return a connection to the primary, or None."""
         _, group = resolved(session)
@@ -461,7 +449,7 @@
         return (lane, link) if link else None
 
     async def lease(
-        self, lane: ServerLane, session: "CallerSession", attempts: Attempts
+        self, lane: ServerLane, session: SessionView, attempts: Attempts
     ) -> ServerLink | None:
         """Return a connection of a lane, or None."""
         spec, group = resolved(session)
@@ -491,7 +479,7 @@
             lane.release(link)
 
 
-def resolved(session: "CallerSession") -> tuple[DatabaseSpec, GroupRelay]:
+def resolved(session: SessionView) -> tuple[DatabaseSpec, GroupRelay]:
     """Return a session's database and group as it found them.
 
     Args:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/succession_service.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/succession_service.py
@@ -79,4 +79,5 @@
                     self.log,
                     self.rng,
                 )
-            self.watches[name].check()
+            if group.homes.is_home(group.group):
+                self.watches[name].check()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -22,6 +22,8 @@
 # Changes come in groups, as servers start or configurations follow each other;
 # one call then fetches several. A tenth of the bound of a configuration.
 COALESCE_SECONDS = 0.3
+# How soon a table that nobody else vouches for any more is read here.
+UNWANTED_PAUSE_SECONDS = 0.2
 
 
 class TableFollower:
@@ -30,6 +32,7 @@
     Attributes:
       table: The table.
       revision: The store's version up to which changes are known.
+      wanted: Tells whether this process must follow the table itself.
       contact: Told of every answer and failure.
       failures: Failures in a row.
     """
@@ -44,7 +47,9 @@
         contact: StoreContact,
         log: DecisionLog,
         rng: random.Random,
+        wanted: Callable[[], bool],
     ) -> None:
+        self.wanted = wanted
         self.store = store
         self.table = table
         self.wait_seconds = wait_seconds
@@ -70,7 +75,9 @@
     async def run(self) -> None:
         """Follow until closed."""
         while True:
-            if self.revision is None:
+            if not self.wanted():
+                await asyncio.sleep(UNWANTED_PAUSE_SECONDS)
+            elif self.revision is None:
                 await self.read()
             else:
                 await self.follow(self.revision)
