--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
@@ -140,14 +140,18 @@
 
     async def serve(self, number: int, kind: Kind, fields: Fields) -> None:
         """Run a request and answer it."""
-        if kind is Kind.RUN:
-            await self.run(number, fields)
-        elif kind is Kind.BEGIN:
-            await self.open(number, fields)
-        elif kind is Kind.RUN_IN_TRANSACTION:
-            await self.run_in_transaction(number, fields)
-        elif kind is Kind.COMMIT:
-            await self.commit(number, fields)
+        handlers = {
+            Kind.RUN: self.run,
+            Kind.BEGIN: self.open,
+            Kind.RUN_IN_TRANSACTION: self.run_in_transaction,
+            Kind.COMMIT: self.commit,
+        }
+        try:
+            await handlers[kind](number, fields)
+        except (KeyError, IndexError, TypeError, ValueError) as error:
+            # A peer of another version; what it left open is rolled back.
+            self.home.log.event("peer_message_unreadable", detail=repr(error))
+            self.abort()
 
     def answer(
         self, number: int, session: ForwardedSession | None, reply: Reply
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
@@ -29,6 +29,7 @@
       groups: The groups by name.
       store: The store.
       version: The newest configuration.
+      connections: Connections that one server takes.
       lose_orders: The next so many duty calls are done and not answered.
       hold_orders: How long duty calls without an answer are held back.
     """
@@ -39,6 +40,7 @@
         self.version = 0
         self.timeout_ms = 1_000
         self.idle_ms = 3_000
+        self.connections = 72
         self.dropped: set[str] = set()
         self.lose_orders = 0
         self.hold_orders = 0.0
@@ -132,7 +134,7 @@
         services = [
             {
                 "name": name,
-                "maxConns": 72,
+                "maxConns": self.connections,
                 "syncReplicas": group.sync_replicas,
             }
             for name, group in self.groups.items()
