Never repeat a statement of a transaction that was rolled back meanwhile

Ruled out: the lane (the connection was still lent). A transaction that is undone while a statement is under way closes its connection.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -34,6 +34,7 @@
       link: The connection.
       on_primary: Whether the server must lead for a statement to succeed.
       wrote: Whether a write was sent.
+      running: Whether a statement was sent and not answered yet.
       ended: Whether the link was given back.
     """
 
@@ -51,6 +52,7 @@
         self.on_primary = on_primary
         self.timeout_seconds = timeout_seconds
         self.wrote = False
+        self.running = False
         self.ended = False
         self.loop = asyncio.get_running_loop()
 
@@ -61,6 +63,8 @@
           session: Whose transaction it is.
           execution: The statement.
         """
+        if self.ended:
+            return self.lost(execution.request_id, self.loop.time())
         self.wrote = self.wrote or execution.writes
         sent_at = boot_seconds()
         start = self.loop.time()
@@ -93,8 +97,12 @@
           deadline: When to give up, in seconds on the loop's clock.
         """
         while True:
-            future = self.link.send(commands)[-1]
-            reply = await await_result(future, deadline)
+            self.running = True
+            try:
+                future = self.link.send(commands)[-1]
+                reply = await await_result(future, deadline)
+            finally:
+                self.running = False
             if (
                 reply is None
                 or reply.problem is not Problem.BUSY
@@ -103,6 +111,9 @@
             ):
                 return reply
             await asyncio.sleep(FULL_PAUSE_SECONDS)
+            if self.ended:
+                # Rolled back meanwhile; it must not run by itself.
+                return None
             commands = commands[-1:]
 
     def answered(self, sent_at: float, start: float, reply: Reply) -> None:
@@ -210,7 +221,7 @@
         """Roll back, and give the connection back once that is done."""
         if self.ended:
             return
-        if self.link.closed:
+        if self.link.closed or self.running:
             self.drop()
             return
         self.ended = True
