Gate statements by what a server refuses; two homes a region

Each home now sends what the server took lately (less after a refusal, slowly more after answers), transactions first; repeats back off. More homes only split the slots: two a region.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/home_plan.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/home_plan.py
@@ -15,11 +15,12 @@
 # With fewer connections than this to a server, transactions of one VM wait for
 # each other: on our users' sites a VM has up to two at a time, and a read.
 MIN_CONNECTIONS = 3
-# More than a server's slots (3 to 6) make no statement quicker, and a
+# More than twice a server's slots (3 to 6) make no statement quicker; a
 # transaction holds one while its caller pauses.
-HOME_CONNECTIONS = 8
-# One home of a region may be lost or leave.
-MIN_HOMES = 2
+MAX_CONNECTIONS = 16
+# One home of a region may be lost or leave; more of them only split the
+# servers' slots into parts that cannot help each other out.
+REGION_HOMES = 2
 # Before other VMs are known: 15 to 21 of them, and up to 6 that are added.
 EXPECTED_VMS = 24
 
@@ -32,11 +33,13 @@
       everywhere: Whether every VM is a home.
       per_region: Homes of a region, if not.
       connections: Connections that one home may hold to one server.
+      homes: Homes in all regions together.
     """
 
     everywhere: bool
     per_region: int
     connections: int
+    homes: int
 
 
 def plan_homes(limit: int, vms: int, regions: int) -> HomePlan:
@@ -49,11 +52,11 @@
     """
     share = limit // (vms or EXPECTED_VMS)
     if share >= MIN_CONNECTIONS or not vms:
-        return HomePlan(True, 0, max(MIN_CONNECTIONS, share))
-    per_region = limit // (max(1, regions) * HOME_CONNECTIONS)
-    per_region = max(MIN_HOMES, per_region)
-    connections = limit // (max(1, regions) * per_region)
-    return HomePlan(False, per_region, max(1, connections))
+        connections = min(MAX_CONNECTIONS, max(MIN_CONNECTIONS, share))
+        return HomePlan(True, 0, connections, vms or EXPECTED_VMS)
+    homes = max(1, regions) * REGION_HOMES
+    connections = min(MAX_CONNECTIONS, max(1, limit // homes))
+    return HomePlan(False, REGION_HOMES, connections, homes)
 
 
 def region_homes(
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/place.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/place.py
@@ -31,6 +31,9 @@
 }
 # Bytes between regions cost our users about as much as 10 ms of latency.
 REGION_PENALTY_SECONDS = 0.010
+# Writes and a quarter of the reads can go nowhere else; a read that can is sent
+# to the primary only where the replicas are clearly slower.
+PRIMARY_FACTOR = 2.0
 
 
 @attrs.frozen
@@ -74,7 +77,13 @@
     ]
     if not fresh:
         return None
-    return min(fresh, key=lambda one: expected_seconds(one, now)).server_id
+    return min(
+        fresh,
+        key=lambda one: (
+            expected_seconds(one, now)
+            * (PRIMARY_FACTOR if one.server_id == primary else 1.0)
+        ),
+    ).server_id
 
 
 def has_position(
--- a/packages/jackdawcrank-policy/tests/homes/test_home_plan.py
+++ b/packages/jackdawcrank-policy/tests/homes/test_home_plan.py
@@ -1,7 +1,7 @@
 import pytest
 
 from jackdawcrank_policy.homes import Member, plan_homes, region_homes
-from jackdawcrank_policy.homes.home_plan import HOME_CONNECTIONS, MIN_HOMES
+from jackdawcrank_policy.homes.home_plan import REGION_HOMES
 
 
 def members(count: int, capacity: float = 0.7) -> list[Member]:
@@ -29,13 +29,14 @@
 ) -> None:
     plan = plan_homes(limit, vms, regions)
     homes = vms if plan.everywhere else plan.per_region * regions
+    assert plan.homes == homes
     assert plan.connections * homes <= limit or plan.connections == 1
-    assert plan.everywhere or plan.per_region >= MIN_HOMES
+    assert plan.everywhere or plan.per_region >= REGION_HOMES
 
 
 def test_grown_homes_have_more_connections_than_slots() -> None:
-    for limit, vms in ((105, 133), (289, 106)):
-        assert plan_homes(limit, vms, 3).connections >= HOME_CONNECTIONS
+    for limit, vms, slots in ((105, 133, 6), (289, 106, 3)):
+        assert plan_homes(limit, vms, 3).connections > 2 * slots
 
 
 def test_unknown_vms_count_as_the_most_that_are_expected() -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -23,6 +23,9 @@
 # Longer than that round trip and a handshake; then the read goes to the
 # primary itself.
 FLOOR_WAIT_SECONDS = 0.3
+# Statements that all homes together give a server at first, for each of its
+# slots: while one runs, the next is on its way.
+SLOT_WINDOW = 2.0
 # How soon a waiting statement notices that a primary answers again.
 LOOK_AGAIN_SECONDS = 0.1
 
@@ -130,6 +133,7 @@
                 server,
                 self.opener,
                 self.connection_limit(),
+                SLOT_WINDOW * server.slots / self.homes.plan(self.group).homes,
                 self.log,
                 functools.partial(self.idle_link_lost, server.server_id),
             )
@@ -348,7 +352,7 @@
             self.whereabouts.distance(lane.server.data_center),
             lane.server.slots,
             lane.condition,
-            lane.line.length,
+            lane.line.length + lane.gate.line.length,
         )
 
     async def floor(self, max_age: float) -> Position | None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/lane_care.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/lane_care.py
@@ -39,6 +39,7 @@
         for group in self.directory.groups.values():
             for lane in group.lanes.values():
                 lane.limit = group.connection_limit()
+                lane.gate.window.most = lane.limit
                 lane.trim(self.wanted(group, lane))
 
     def wanted(self, group: GroupRelay, lane: ServerLane) -> int:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -23,6 +23,8 @@
 UNDO_SECONDS = 1.0
 # A slot is free again after about the mean work of 30 ms.
 FULL_PAUSE_SECONDS = 0.03
+# As for single statements: a full queue is worked off in about this time.
+LONGEST_PAUSE_SECONDS = 0.25
 
 
 class OpenTransaction:
@@ -96,26 +98,38 @@
           commands: The commands.
           deadline: When to give up, in seconds on the loop's clock.
         """
+        pause = FULL_PAUSE_SECONDS
         while True:
-            self.running = True
-            try:
-                future = self.link.send(commands)[-1]
-                reply = await await_result(future, deadline)
-            finally:
-                self.running = False
+            reply = await self.send_once(commands, deadline)
             if (
                 reply is None
                 or reply.problem is not Problem.BUSY
                 or reply.state is not SessionState.IN_TRANSACTION
-                or self.loop.time() + FULL_PAUSE_SECONDS >= deadline
+                or self.loop.time() + pause >= deadline
             ):
                 return reply
-            await asyncio.sleep(FULL_PAUSE_SECONDS)
-            if self.ended:
-                # Rolled back meanwhile; it must not run by itself.
-                return None
+            self.lane.gate.refused()
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
             commands = commands[-1:]
 
+    async def send_once(
+        self, commands: list[Command], deadline: float
+    ) -> Reply | None:
+        """Send commands when it is their turn; return the last reply."""
+        if not await self.lane.resume(self.link, deadline):
+            return None
+        if self.ended:
+            # Rolled back meanwhile; it must not run by itself.
+            return None
+        self.running = True
+        try:
+            future = self.link.send(commands)[-1]
+            return await await_result(future, deadline)
+        finally:
+            self.running = False
+            self.lane.rest(self.link)
+
     def answered(self, sent_at: float, start: float, reply: Reply) -> None:
         """Take in a server's answer."""
         condition = self.lane.condition
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -7,6 +7,11 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.statement_gate import (
+    TRANSACTION_PRIORITY,
+    Entry,
+    StatementGate,
+)
 from jackdawcrank.seams.replies import SessionState
 from jackdawcrank.seams.server_link import (
     LinkOpener,
@@ -22,6 +27,8 @@
 # Above a round trip between regions (40 ms) twice, a handshake behind a full
 # server (27 ms each) and a delayed packet.
 OPEN_TIMEOUT_SECONDS = 1.0
+# Fewer statements at once would let a round trip between regions idle a slot.
+MIN_WINDOW = 2.0
 # Connections unused for this long are given back to other proxies.
 IDLE_SECONDS = 12.0
 # After a server was full, wait for others to give connections back.
@@ -32,7 +39,7 @@
 
 @attrs.frozen
 class Hopeless:
-    """All connections are in use, and the turn cannot come in time."""
+    """The statement's turn cannot come in time."""
 
 
 @attrs.frozen
@@ -59,7 +66,9 @@
       count: Connections that are open or being opened.
       loans: The connections in use, and since when.
       line: Who waits for one.
-      turn: How long they are lent.
+      turn: How long connections are in use.
+      gate: Lets statements pass as the server can take them.
+      sending: The connections with a statement under way, and since when.
       retired: Whether the server is gone.
       on_lost: Called when the server ends a connection that nobody uses.
     """
@@ -69,6 +78,7 @@
         server: ListedServer,
         opener: LinkOpener,
         limit: int,
+        window: float,
         log: DecisionLog,
         on_lost: Callable[[], None],
     ) -> None:
@@ -82,6 +92,8 @@
         self.count = 0
         self.opening = 0
         self.full_until = 0.0
+        self.gate = StatementGate(max(MIN_WINDOW, window), limit)
+        self.sending: dict[ServerLink, float] = {}
         self.turn = Turn()
         self.loans: dict[ServerLink, float] = {}
         self.line: WaitingLine[asyncio.Future[Granted]] = WaitingLine()
@@ -100,10 +112,30 @@
           priority: 0 goes first.
           deadline: When to give up, in seconds on the loop's clock.
         """
+        granted = await self.connect(memory, priority, deadline)
+        if isinstance(granted, (NotOpened, Hopeless)):
+            return granted
+        # In this order, since whoever holds a place at the gate must be able
+        # to go on: transactions need one while they keep their connections.
+        entry = await self.gate.enter(priority, deadline)
+        if entry is Entry.GRANTED:
+            self.sending[granted] = self.loop.time()
+            return granted
+        self.release(granted)
+        if entry is Entry.HOPELESS:
+            return Hopeless()
+        return NotOpened(OpenFailure.FULL, "too many statements wait")
+
+    async def connect(
+        self, memory: SessionMemory, priority: int, deadline: float
+    ) -> Granted | Hopeless:
+        """Return a connection, opening one or waiting for one."""
         link = self.take_idle(memory)
         if link is not None:
             return self.lend(link)
-        if not self.hopeful(priority, deadline):
+        ahead = self.line.ahead_of(priority)
+        wait = self.turn.wait_seconds(ahead, self.limit)
+        if self.count >= self.limit and self.loop.time() + wait >= deadline:
             return Hopeless()
         granted: asyncio.Future[Granted] = self.loop.create_future()
         place = self.line.join(priority, deadline, granted)
@@ -127,16 +159,33 @@
 
     def returned(self, link: ServerLink) -> None:
         """Note that a connection is no longer in use."""
+        self.rest(link)
         lent_at = self.loans.pop(link, None)
         if lent_at is not None:
             self.turn.ended(self.loop.time() - lent_at)
             self.condition.running = len(self.loans)
 
-    def hopeful(self, priority: int, deadline: float) -> bool:
-        """Return whether a newcomer's turn should come in time."""
-        ahead = self.line.ahead_of(priority)
-        wait = self.turn.wait_seconds(ahead, self.limit)
-        return self.loop.time() + wait < deadline
+    def rest(self, link: ServerLink) -> None:
+        """Note that nothing is under way on a connection in use."""
+        sent_at = self.sending.pop(link, None)
+        if sent_at is not None:
+            self.gate.leave(self.loop.time() - sent_at)
+
+    async def resume(self, link: ServerLink, deadline: float) -> bool:
+        """Wait until a transaction's next statement may be sent.
+
+        Args:
+          link: The transaction's connection.
+          deadline: When to give up, in seconds on the loop's clock.
+        """
+        entry = await self.gate.enter(TRANSACTION_PRIORITY, deadline)
+        if entry is not Entry.GRANTED:
+            return False
+        if link not in self.loans:
+            self.gate.leave(0.0)
+            return False
+        self.sending[link] = self.loop.time()
+        return True
 
     def has_spare_link(self) -> bool:
         """Return whether a connection is idle or may still be opened."""
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_gate.py
@@ -0,0 +1,88 @@
+"""The statements of this proxy under way at one server."""
+
+import asyncio
+import enum
+
+from jackdawcrank_policy.waiting import Turn, WaitingLine, Window
+
+# Transactions under way hold locks and a connection: their statements go
+# before any new work, whose priorities begin at 0.
+TRANSACTION_PRIORITY = -1
+
+
+class Entry(enum.Enum):
+    """Whether a statement may be sent."""
+
+    GRANTED = "granted"
+    HOPELESS = "hopeless"
+    """Its turn cannot come in time."""
+    TOO_LATE = "too_late"
+
+
+class StatementGate:
+    """Lets statements pass as the server can take them, the urgent first.
+
+    Attributes:
+      window: How many may be under way.
+      under_way: How many are.
+      line: Who waits.
+      turn: How long statements take.
+    """
+
+    def __init__(self, size: float, most: float) -> None:
+        self.window = Window(size, most)
+        self.under_way = 0
+        self.line: WaitingLine[asyncio.Future[None]] = WaitingLine()
+        self.turn = Turn()
+        self.loop = asyncio.get_running_loop()
+
+    async def enter(self, priority: int, deadline: float) -> Entry:
+        """Wait until a statement may be sent.
+
+        Args:
+          priority: Lower goes first.
+          deadline: When to give up, in seconds on the loop's clock.
+        """
+        if self.window.admits(self.under_way) and not self.line.length:
+            self.under_way += 1
+            return Entry.GRANTED
+        ahead = self.line.ahead_of(priority)
+        wait = self.turn.wait_seconds(ahead, int(self.window.size))
+        if self.loop.time() + wait >= deadline:
+            return Entry.HOPELESS
+        passed: asyncio.Future[None] = self.loop.create_future()
+        place = self.line.join(priority, deadline, passed)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await passed
+        except TimeoutError:
+            if not passed.done() or passed.cancelled():
+                return Entry.TOO_LATE
+        finally:
+            self.line.leave(place)
+        return Entry.GRANTED
+
+    def leave(self, seconds: float) -> None:
+        """Take in that a statement is under way no more.
+
+        Args:
+          seconds: How long it was.
+        """
+        self.under_way -= 1
+        self.turn.ended(seconds)
+        self.window.answered()
+        self.let_pass()
+
+    def refused(self) -> None:
+        """Take in that the server was full."""
+        self.window.refused(self.loop.time())
+
+    def let_pass(self) -> None:
+        """Let those pass that may be sent now."""
+        while self.window.admits(self.under_way):
+            place = self.line.pop(self.loop.time())
+            if place is None:
+                return
+            if not place.item.done():
+                self.under_way += 1
+                place.item.set_result(None)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -1,6 +1,7 @@
 """Running callers' statements on the servers of their groups."""
 
 import asyncio
+import random
 import typing
 
 import attrs
@@ -37,6 +38,8 @@
 # Between attempts after a refusal; a slot is free again after about the mean
 # work of 30 ms.
 RETRY_SECONDS = 0.03
+# A full server's queue (24 to 48 statements) is worked off in about this time.
+LONGEST_RETRY_SECONDS = 0.25
 # The age of data counts until the server reads it: a round trip between
 # regions (80 ms), twice, and a late timer.
 AGE_MARGIN_SECONDS = 0.25
@@ -149,7 +152,9 @@
         """Wait a little before the next attempt."""
         left = attempts.deadline - self.loop.time()
         if attempts.count > 1 and left > 0:
-            await asyncio.sleep(min(RETRY_SECONDS, left))
+            delay = RETRY_SECONDS * 2.0 ** min(attempts.count - 2, 8)
+            delay = min(LONGEST_RETRY_SECONDS, delay) * random.uniform(0.5, 1.5)
+            await asyncio.sleep(min(delay, left))
 
     async def try_write(
         self,
@@ -356,6 +361,7 @@
             else:
                 attempts.excluded.add(lane.server.server_id)
         elif problem is Problem.BUSY:
+            lane.gate.refused()
             lane.condition.failed(now)
 
     async def begin(
@@ -432,6 +438,7 @@
             self.give_back(lane, link, broken=False)
             self.note_refusal(group, lane, reply, attempts)
             return None
+        lane.rest(link)
         return OpenTransaction(
             group, lane, link, on_primary, spec.statement_timeout_seconds
         )
