--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := policy wire proxy cli standins
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/jackdawcrank-$(p)) -e platform
-SOURCES := packages platform bench
+SOURCES := packages platform soak bench
 
 .PHONY: demo test lint format types bench clean
 
@@ -24,7 +24,7 @@
 	$(BIN)/ruff check $(SOURCES)
 
 types: $(VENV)/.installed
-	$(BIN)/mypy packages/*/src platform/src bench
+	$(BIN)/mypy packages/*/src platform/src soak/fault_soak bench
 
 format: $(VENV)/.installed
 	$(BIN)/ruff format $(SOURCES)
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
@@ -30,6 +30,8 @@
       store: The store.
       version: The newest configuration.
       connections: Connections that one server takes.
+      address_ports: Ports that stand in servers' entries in place of their
+        own.
       lose_orders: The next so many duty calls are done and not answered.
       hold_orders: How long duty calls without an answer are held back.
     """
@@ -42,6 +44,7 @@
         self.idle_ms = 3_000
         self.connections = 72
         self.dropped: set[str] = set()
+        self.address_ports: dict[str, int] = {}
         self.lose_orders = 0
         self.hold_orders = 0.0
         self.holders: list[tuple[str, int]] = []
@@ -97,9 +100,10 @@
 
     def report(self, server: LineServer) -> None:
         """Write a server's entry."""
+        port = self.address_ports.get(server.server_id, server.port)
         body = {
             "service": server.group.name,
-            "address": f"127.0.0.1:{server.port}",
+            "address": f"127.0.0.1:{port}",
             "zone": server.zone,
             "version": "v1",
             "slots": 5,
--- /dev/null
+++ b/soak/fault_soak/__init__.py
@@ -0,0 +1,4 @@
+"""A randomized fault soak of real proxy processes.
+
+See `docs/soak.md`.
+"""
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,16 @@
+"""A short run of the soak, and seeds that once failed."""
+
+import pytest
+
+from fault_soak.run import parse_seeds, soak
+
+
+@pytest.mark.parametrize("seed", [1])
+async def test_short_run_keeps_every_promise(seed: int) -> None:
+    verdict = await soak(seed, seconds=6.0, proxies=3, callers=6)
+    assert verdict.broken == ()
+    assert verdict.answers.get("done", 0) > 50
+
+
+def test_seeds_are_read() -> None:
+    assert parse_seeds("3,5-7") == [3, 5, 6, 7]
