--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
@@ -91,6 +91,7 @@
     Attributes:
       transactions: Its open transactions by number.
       follows: Whether it wants to be told declarations.
+      told_revision: The newest ones that it was told.
     """
 
     def __init__(self, home: "HomeServer") -> None:
@@ -98,6 +99,7 @@
         self.home = home
         self.transactions: dict[int, tuple[ForwardedSession, Transaction]] = {}
         self.follows = False
+        self.told_revision = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -320,7 +322,10 @@
     def tell_declarations(self, connection: HomeConnection) -> None:
         """Send the newest declarations."""
         row = self.declarations
-        if row is not None and self.may_vouch():
+        if row is None or not self.may_vouch():
+            return
+        if connection.told_revision < row.revision:
+            connection.told_revision = row.revision
             connection.send(
                 pack(0, Kind.DECLARATIONS, row.key, row.value, row.revision)
             )
@@ -335,4 +340,7 @@
             return
         for connection in self.connections:
             if connection.follows:
+                # What changed while the store was out of reach here has not
+                # been told yet.
+                self.tell_declarations(connection)
                 connection.send(pack(0, Kind.ALIVE))
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -466,7 +466,8 @@
         )
         if isinstance(granted, Hopeless):
             attempts.reason = OpenFailure.FULL.value
-            attempts.hopeless = True
+            attempts.hopeless = lane is group.primary_lane()
+            attempts.excluded.add(lane.server.server_id)
             return None
         if isinstance(granted, NotOpened):
             attempts.reason = granted.failure.value
