--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
@@ -1,7 +1,9 @@
 """The users' platform in one process."""
 
 import asyncio
+import itertools
 import json
+import os
 import pathlib
 import socket
 
@@ -206,16 +208,31 @@
         return front
 
 
+# Below the range from which the kernel takes ports of outgoing connections,
+# which would else take a port between its choice and its use.
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+# Processes that run at once begin at different ports.
+PORT_STEP = 97
+next_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+for _ in range(os.getpid() * PORT_STEP % (LAST_PORT - FIRST_PORT)):
+    next(next_ports)
+
+
 def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on.
+    """Return ports that nobody listens on, each of them once.
 
     Args:
       count: How many.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(next_ports)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                # Somebody else listens there.
+                continue
+        ports.append(port)
     return ports
