--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
@@ -18,7 +18,7 @@
 
 
 @attrs.frozen
-class Granted:
+class HeldClaim:
     """A claim that this process holds.
 
     Attributes:
@@ -49,7 +49,7 @@
 
     async def claim(
         self, group: str, holder: str, replaced: str
-    ) -> Granted | None:
+    ) -> HeldClaim | None:
         """Claim the right to replace a primary; None if it is not to be had.
 
         Args:
@@ -70,7 +70,7 @@
         if present and present.holder == holder and not present.settled:
             # The answer to this process's own write was lost, or its order
             # has not been answered yet.
-            return Granted(present, False)
+            return HeldClaim(present, False)
         wanted = next_claim(present, holder, replaced, image.store_seconds)
         if wanted is None:
             return None
@@ -78,7 +78,7 @@
             CLAIMS_TABLE, group, dump(wanted), row.revision if row else 0
         )
         if isinstance(written, RowWritten):
-            return Granted(wanted, present is None or present.settled)
+            return HeldClaim(wanted, present is None or present.settled)
         if isinstance(written, StoreFailure):
             self.log.event("claim_failed", group=group, detail=written.detail)
         return None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from jackdawcrank.decisions import DecisionLog
-from jackdawcrank.relay.claim_rows import ClaimRows, Granted
+from jackdawcrank.relay.claim_rows import ClaimRows, HeldClaim
 from jackdawcrank.relay.group_relay import GroupRelay
 from jackdawcrank.relay.server_lane import ServerLane
 from jackdawcrank.relay.server_questions import Questioned
@@ -236,7 +236,7 @@
         return max(terms, default=0) + 1
 
     async def take_over(
-        self, granted: Granted, old: ServerLane | None
+        self, granted: HeldClaim, old: ServerLane | None
     ) -> "Result":
         """Freeze the replicas and promote the most advanced one.
 
@@ -385,7 +385,7 @@
         self.group.promoted(max(leading)[1])
         return True
 
-    async def hand_over(self, granted: Granted, old: ServerLane) -> "Result":
+    async def hand_over(self, granted: HeldClaim, old: ServerLane) -> "Result":
         """Move the lead of a primary that is shutting down.
 
         Args:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
@@ -14,6 +14,7 @@
     pack,
 )
 from jackdawcrank.relay.home_stream import (
+    HOME_MARGIN_SECONDS,
     HomeAnswer,
     HomeLost,
     HomeStream,
@@ -31,8 +32,6 @@
 # A home that could not be reached is passed over for this long: the time in
 # which a killed process starts again.
 PASS_OVER_SECONDS = 1.0
-# Beyond the statement's own time, for the way to the home and back.
-HOME_MARGIN_SECONDS = 0.2
 # Longer than twice the interval at which a home vouches for its declarations.
 VOUCHED_SECONDS = 2.5
 
@@ -111,16 +110,8 @@
             stream = await self.stream_for(session, deadline)
             if stream is None:
                 break
-            number = stream.next_number()
-            answer = await stream.call(
-                number,
-                pack(
-                    number,
-                    Kind.RUN,
-                    encode_session(session, spec),
-                    encode_execution(execution),
-                ),
-                deadline + HOME_MARGIN_SECONDS - self.loop.time(),
+            _, answer = await self.ask(
+                stream, Kind.RUN, session, execution, deadline
             )
             if isinstance(answer, HomeAnswer):
                 session.saw(answer.seen)
@@ -146,16 +137,8 @@
             stream = await self.stream_for(session, deadline)
             if stream is None:
                 break
-            number = stream.next_number()
-            answer = await stream.call(
-                number,
-                pack(
-                    number,
-                    Kind.BEGIN,
-                    encode_session(session, spec),
-                    encode_execution(execution),
-                ),
-                deadline + HOME_MARGIN_SECONDS - self.loop.time(),
+            number, answer = await self.ask(
+                stream, Kind.BEGIN, session, execution, deadline
             )
             if isinstance(answer, HomeLost):
                 if self.loop.time() >= deadline:
@@ -166,6 +149,26 @@
             return RemoteTransaction(stream, number, spec, self.log)
         return await self.local.begin(session, execution)
 
+    async def ask(
+        self,
+        stream: HomeStream,
+        kind: Kind,
+        session: SessionView,
+        execution: Execution | None,
+        deadline: float,
+    ) -> tuple[int, HomeAnswer | HomeLost]:
+        """Forward a statement; return the request's number and the answer."""
+        spec, _ = resolved(session)
+        number = stream.next_number()
+        body = pack(
+            number,
+            kind,
+            encode_session(session, spec),
+            encode_execution(execution),
+        )
+        timeout = deadline + HOME_MARGIN_SECONDS - self.loop.time()
+        return number, await stream.call(number, body, timeout)
+
     def in_doubt(self, session: SessionView, execution: Execution) -> Reply:
         """Return that a home took a write with it."""
         self.log.event(
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
@@ -22,6 +22,8 @@
 # A round trip in a region takes 3 ms; a home that does not answer the opening
 # packet in this time is passed over.
 CONNECT_SECONDS = 0.4
+# Beyond a statement's own time, for the way to the home and back.
+HOME_MARGIN_SECONDS = 0.2
 
 
 @attrs.frozen
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -10,6 +10,7 @@
     forward_command,
     setup_commands,
 )
+from jackdawcrank.relay.full_server import pause_seconds
 from jackdawcrank.relay.server_lane import ServerLane
 from jackdawcrank.relay.session_view import SessionView
 from jackdawcrank.seams.commands import Command, ForwardCommit, UndoTransaction
@@ -21,10 +22,6 @@
 
 # A rollback needs no slot; a server that does not answer it is silent.
 UNDO_SECONDS = 1.0
-# A slot is free again after about the mean work of 30 ms.
-FULL_PAUSE_SECONDS = 0.03
-# As for single statements: a full queue is worked off in about this time.
-LONGEST_PAUSE_SECONDS = 0.25
 
 
 class OpenTransaction:
@@ -98,8 +95,9 @@
           commands: The commands.
           deadline: When to give up, in seconds on the loop's clock.
         """
-        pause = FULL_PAUSE_SECONDS
+        refusals = 0
         while True:
+            pause = pause_seconds(refusals)
             reply = await self.send_once(commands, deadline)
             if (
                 reply is None
@@ -110,7 +108,7 @@
                 return reply
             self.lane.gate.refused()
             await asyncio.sleep(pause)
-            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+            refusals += 1
             commands = commands[-1:]
 
     async def send_once(
@@ -147,16 +145,7 @@
 
     def lost(self, request_id: str, start: float) -> Reply:
         """Give up a statement without an answer; nothing was committed."""
-        silent = not self.link.closed
-        self.group.note_lost(self.lane, silent, start)
-        self.group.log.event(
-            "transaction_lost",
-            request=request_id,
-            group=self.group.name,
-            server=self.lane.server.server_id,
-            silent=silent,
-            waited=round(self.loop.time() - start, 3),
-        )
+        self.note_lost("transaction_lost", request_id, start)
         self.drop()
         return Reply(
             problem=Problem.ROLLED_BACK,
@@ -215,21 +204,31 @@
         """Give up a commit without an answer."""
         if not self.wrote:
             return self.lost(request_id, start)
+        self.note_lost("commit_in_doubt", request_id, start, wrote=True)
+        self.drop()
+        return Reply(
+            problem=Problem.IN_DOUBT,
+            detail="the server did not answer the commit",
+        )
+
+    def note_lost(
+        self,
+        event: str,
+        request_id: str,
+        start: float,
+        wrote: bool = False,
+    ) -> None:
+        """Take in and log that an answer did not come."""
         silent = not self.link.closed
-        self.group.note_lost(self.lane, silent, start, wrote=True)
+        self.group.note_lost(self.lane, silent, start, wrote)
         self.group.log.event(
-            "commit_in_doubt",
+            event,
             request=request_id,
             group=self.group.name,
             server=self.lane.server.server_id,
             silent=silent,
             waited=round(self.loop.time() - start, 3),
         )
-        self.drop()
-        return Reply(
-            problem=Problem.IN_DOUBT,
-            detail="the server did not answer the commit",
-        )
 
     def undo(self) -> None:
         """Roll back, and give the connection back once that is done."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/remote_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/remote_transaction.py
@@ -5,14 +5,16 @@
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.execution import Execution
 from jackdawcrank.relay.home_messages import Kind, encode_execution, pack
-from jackdawcrank.relay.home_stream import HomeAnswer, HomeLost, HomeStream
+from jackdawcrank.relay.home_stream import (
+    HOME_MARGIN_SECONDS,
+    HomeAnswer,
+    HomeLost,
+    HomeStream,
+)
 from jackdawcrank.relay.session_view import SessionView
 from jackdawcrank.seams.replies import Problem, Reply
 from jackdawcrank_policy.catalog import DatabaseSpec
 
-# For the way to the home and back, as for single statements.
-HOME_MARGIN_SECONDS = 0.2
-
 
 class RemoteTransaction:
     """Forwards a transaction's statements to the home that opened it.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -274,15 +274,6 @@
         self.count -= 1
         self.open_more()
 
-    def warm(self, count: int) -> None:
-        """Open connections ahead of the first statement.
-
-        Args:
-          count: How many there should be at least.
-        """
-        for _ in range(min(count, self.limit) - self.count):
-            self.begin_open()
-
     def open_more(self) -> None:
         """Open as many connections as are waited for and allowed."""
         if self.retired or self.loop.time() < self.full_until:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -1,7 +1,6 @@
 """Running callers' statements on the servers of their groups."""
 
 import asyncio
-import random
 import typing
 
 import attrs
@@ -14,6 +13,7 @@
     forward_command,
     setup_commands,
 )
+from jackdawcrank.relay.full_server import pause_seconds
 from jackdawcrank.relay.group_relay import GroupRelay
 from jackdawcrank.relay.open_transaction import (
     OpenTransaction,
@@ -35,11 +35,6 @@
 MIN_ATTEMPT_SECONDS = 0.3
 # A second attempt needs the other half of a statement's time.
 MAX_ATTEMPT_SHARE = 0.5
-# Between attempts after a refusal; a slot is free again after about the mean
-# work of 30 ms.
-RETRY_SECONDS = 0.03
-# A full server's queue (24 to 48 statements) is worked off in about this time.
-LONGEST_RETRY_SECONDS = 0.25
 # The age of data counts until the server reads it: a round trip between
 # regions (80 ms), twice, and a late timer.
 AGE_MARGIN_SECONDS = 0.25
@@ -152,8 +147,7 @@
         """Wait a little before the next attempt."""
         left = attempts.deadline - self.loop.time()
         if attempts.count > 1 and left > 0:
-            delay = RETRY_SECONDS * 2.0 ** min(attempts.count - 2, 8)
-            delay = min(LONGEST_RETRY_SECONDS, delay) * random.uniform(0.5, 1.5)
+            delay = pause_seconds(min(attempts.count - 2, 8))
             await asyncio.sleep(min(delay, left))
 
     async def try_write(
--- a/packages/jackdawcrank-proxy/tests/decisions/test_events.py
+++ b/packages/jackdawcrank-proxy/tests/decisions/test_events.py
@@ -7,7 +7,9 @@
 
 SOURCES = pathlib.Path(jackdawcrank.__file__).parent
 ROOT = pathlib.Path(__file__).parents[4]
-WRITTEN = re.compile(r'(?:\.event|\.routine|\bwrite)\(\s*"([a-z_]+)"')
+WRITTEN = re.compile(
+    r'(?:\.event|\.routine|\bwrite|\.note_lost)\(\s*"([a-z_]+)"'
+)
 PLACES = ("relay", "decisions")
 
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -5,9 +5,11 @@
 from fault_soak.run import parse_seeds, soak
 
 
-@pytest.mark.parametrize("seed", [1])
+# 15 and 17 once failed: callers reached the proxy of another world that had
+# taken the port; ports are now given out once.
+@pytest.mark.parametrize("seed", [1, 15, 17])
 async def test_short_run_keeps_every_promise(seed: int) -> None:
-    verdict = await soak(seed, seconds=6.0, proxies=3, callers=6)
+    verdict = await soak(seed, seconds=5.0, proxies=3, callers=6)
     assert verdict.broken == ()
     assert verdict.answers.get("done", 0) > 50
 
