Settle a claim only once no earlier order can be open

Found in reading: a try that found no successor settled its claim even though an earlier holder's order had no answer yet; the next try would then have thawed replicas, and the late order could have lost what was acknowledged.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -200,7 +200,10 @@
         self.not_before = self.loop.time() + min(
             RETRY_SECONDS * self.failures, LONGEST_RETRY_SECONDS
         )
-        if result is not Result.UNANSWERED:
+        # An order that was obeyed shuts out those of earlier claims; without
+        # one, theirs may still be carried out.
+        nothing_open = result is Result.NOTHING_DONE and granted.first_order
+        if result is Result.DONE or nothing_open:
             await self.claims.settle(self.group.name, claim)
 
     async def keeps_up(self) -> bool:
