--- a/packages/jackdawcrank-proxy/src/jackdawcrank/commands/demo.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/commands/demo.py
@@ -8,6 +8,7 @@
 import click
 from asyncmy.errors import MySQLError
 
+from jackdawcrank.commands.platform_demo import run_platform_demo
 from jackdawcrank.embedded import EmbeddedOptions, EmbeddedSystem
 
 GROUP = "depot"
@@ -36,6 +37,9 @@
         return EXIT_FAILED
     finally:
         await system.close()
+    if not await run_platform_demo():
+        click.echo("FAILED: on the users' platform", err=True)
+        return EXIT_FAILED
     click.echo("done")
     return EXIT_OK
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/commands/embedded.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/commands/embedded.py
@@ -5,6 +5,7 @@
 
 from jackdawcrank.commands.stop_signal import stop_event
 from jackdawcrank.embedded import EmbeddedOptions, EmbeddedSystem
+from jackdawcrank.embedded.platform_system import PlatformSystem
 
 EXIT_OK = 0
 
@@ -18,11 +19,25 @@
       options: The size and manner of the system.
       ready_file: Where to describe the system once it is ready.
 
+    Returns:
+      The exit status.
+    """
+    return await run_until_stopped(EmbeddedSystem(options), ready_file)
+
+
+async def run_until_stopped(
+    system: EmbeddedSystem | PlatformSystem, ready_file: pathlib.Path | None
+) -> int:
+    """Run a system until a signal.
+
+    Args:
+      system: The system.
+      ready_file: Where to describe the system once it is ready.
+
     Returns:
       The exit status.
     """
     stop = stop_event()
-    system = EmbeddedSystem(options)
     await system.start()
     if ready_file is not None:
         _write_whole(ready_file, json.dumps(system.describe(), indent=2))
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/main.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/main.py
@@ -66,18 +66,28 @@
     show_default=True,
     type=click.Choice(["debug", "info", "warning", "error"]),
 )
+@click.option(
+    "--platform",
+    is_flag=True,
+    help="Use the stand-in of the users' platform in place of MySQL servers.",
+)
 def embedded(
     vms: int,
     groups: tuple[str, ...],
     lag_seconds: float,
     ready_file: pathlib.Path | None,
     log_verbosity: str,
+    platform: bool,
 ) -> None:
     """Run proxies and stand-ins in one process until SIGTERM."""
-    from jackdawcrank.commands.embedded import run_embedded
+    from jackdawcrank.commands.embedded import run_embedded, run_until_stopped
     from jackdawcrank.embedded import EmbeddedOptions
+    from jackdawcrank.embedded.platform_system import PlatformSystem
 
     configure_logging("text", log_verbosity)
+    if platform:
+        system = PlatformSystem(vms)
+        sys.exit(asyncio.run(run_until_stopped(system, ready_file)))
     options = EmbeddedOptions(vms=vms, groups=groups, lag_seconds=lag_seconds)
     sys.exit(asyncio.run(run_embedded(options, ready_file)))
 
--- a/soak/fault_soak/callers.py
+++ b/soak/fault_soak/callers.py
@@ -7,12 +7,11 @@
 import attrs
 
 from fault_soak.world import GROUP, World
+from jackdawcrank_standins.users_platform import LineAnswer, LineCaller
 
 PROMISES = frozenset(
     {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD"}
 )
-ANSWER_SECONDS = 8.0
-CONNECT_SECONDS = 2.0
 PAUSE_SECONDS = 0.02
 
 
@@ -35,62 +34,6 @@
     answers: dict[str, int] = attrs.Factory(dict)
 
 
-@attrs.frozen
-class Answer:
-    """One answer.
-
-    Attributes:
-      code: The error's code, empty on success.
-      rows: The rows.
-      signature: The server's signature.
-    """
-
-    code: str
-    rows: tuple[str, ...] = ()
-    signature: str = ""
-
-
-class Session:
-    """One connection of a caller; used until it is gone."""
-
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.reader = reader
-        self.writer = writer
-
-    @classmethod
-    async def open(cls, port: int, database: str) -> "Session":
-        """Connect and name a database."""
-        async with asyncio.timeout(CONNECT_SECONDS):
-            session = cls(*await asyncio.open_connection("127.0.0.1", port))
-            session.writer.write(f"CONNECT {database} soak\r\n".encode())
-            line = await session.reader.readline()
-        if not line.startswith(b"READY"):
-            raise ConnectionResetError(line.decode())
-        return session
-
-    async def ask(self, request_id: str, text: str) -> Answer:
-        """Send a query and return the whole answer."""
-        self.writer.write(f"QUERY {request_id} {text}\r\n".encode())
-        rows: list[str] = []
-        code = signature = ""
-        async with asyncio.timeout(ANSWER_SECONDS):
-            while True:
-                line = (await self.reader.readline()).decode().rstrip("\r\n")
-                word, _, rest = line.partition(" ")
-                if word == "READY":
-                    return Answer(code, tuple(rows), signature)
-                if word == "ROW":
-                    rows.append(rest)
-                elif word == "COMPLETE":
-                    signature = rest
-                elif word == "ERROR":
-                    code = rest.split(" ")[0]
-                else:
-                    raise ConnectionResetError("cut")
-
-
 class Caller:
     """Writes items of its own and reads what anybody wrote."""
 
@@ -102,7 +45,7 @@
         self.memory = memory
         self.rng = rng
         self.numbers = itertools.count()
-        self.session: Session | None = None
+        self.session: LineCaller | None = None
         self.database = ""
         self.own: dict[str, str] = {}
 
@@ -129,7 +72,11 @@
             kind = self.rng.choice(["primary", "read_your_writes"])
             self.database = f"{GROUP}-{kind}"
             proxy = self.rng.choice(self.world.proxies)
-            self.session = await Session.open(proxy.port, self.database)
+            session = await LineCaller.connect(proxy.port, self.database)
+            if not session.greeting.startswith("READY"):
+                session.writer.transport.abort()
+                return
+            self.session = session
         work = self.rng.choice([self.write, self.read, self.read, self.pair])
         await work(self.session)
 
@@ -137,25 +84,25 @@
         """Return an item that nobody has written."""
         return f"{self.name}.{next(self.numbers)}"
 
-    def count(self, answer: Answer) -> None:
+    def count(self, answer: LineAnswer) -> None:
         """Count an answer."""
         code = answer.code or "done"
         self.memory.answers[code] = self.memory.answers.get(code, 0) + 1
 
-    async def write(self, session: Session) -> None:
+    async def write(self, session: LineCaller) -> None:
         """Write an item once."""
         item = self.next_item()
-        answer = await session.ask(f"w-{item}", f"WRITE {item} v-{item}")
+        answer = await session.ask(f"WRITE {item} v-{item}", f"w-{item}")
         self.count(answer)
         if not answer.code:
-            if not answer.signature or answer.signature == "-":
+            if not answer.signature:
                 self.memory.broken.append(f"MIXED: {item} without signature")
             self.memory.kept[item] = f"v-{item}"
             self.own[item] = f"v-{item}"
         elif answer.code in PROMISES:
             self.memory.refused.add(item)
 
-    async def read(self, session: Session) -> None:
+    async def read(self, session: LineCaller) -> None:
         """Read an item that must be there."""
         known = (
             self.memory.kept if self.database.endswith("primary") else self.own
@@ -165,25 +112,25 @@
         item = self.rng.choice(list(known))
         expected = known[item]
         number = next(self.numbers)
-        answer = await session.ask(f"r-{self.name}-{number}", f"READ {item}")
+        answer = await session.ask(f"READ {item}", f"r-{self.name}-{number}")
         self.count(answer)
-        if not answer.code and answer.rows != (expected,):
+        if not answer.code and answer.rows != [expected]:
             self.memory.broken.append(
                 f"STALE: {item} read as {answer.rows} on {self.database}"
             )
 
-    async def pair(self, session: Session) -> None:
+    async def pair(self, session: LineCaller) -> None:
         """Write two items in a transaction."""
         one, two = self.next_item(), self.next_item()
         for text in ("BEGIN", f"WRITE {one} v-{one}", f"WRITE {two} v-{two}"):
-            answer = await session.ask(f"t-{one}", text)
+            answer = await session.ask(text, f"t-{one}")
             if answer.code:
                 self.count(answer)
-                await session.ask(f"t-{one}", "ROLLBACK")
+                await session.ask("ROLLBACK", f"t-{one}")
                 self.memory.refused |= {one, two}
                 return
         self.memory.pairs.append((one, two))
-        answer = await session.ask(f"t-{one}", "COMMIT")
+        answer = await session.ask("COMMIT", f"t-{one}")
         self.count(answer)
         if not answer.code:
             self.memory.kept |= {one: f"v-{one}", two: f"v-{two}"}
