Promote nobody while a server that went missing may be back

Two of three servers were dark for 6 s and their reports had lapsed. When they came back, one was listed and frozen; the other, not listed yet, confirmed commits of the living primary, which the promoted one lacked. Ruled out: a thaw or a late order (one order, answered). A server that went missing without leaving counts as a replica that may hold a commit for 30 s; the lost primary itself does not.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -26,6 +26,9 @@
 # Statements that all homes together give a server at first, for each of its
 # slots: while one runs, the next is on its way.
 SLOT_WINDOW = 2.0
+# A server that crashed is back within seconds on our users' sites (7 s at
+# most); one that is gone for this long is gone for good.
+RETURN_SECONDS = 30.0
 # How soon a waiting statement notices that a primary answers again.
 LOOK_AGAIN_SECONDS = 0.1
 
@@ -72,6 +75,8 @@
         of the report that claims it.
       homes: How the servers' connections are shared.
       contact: Whether the store can be reached.
+      departed: Servers that went missing without leaving, and when.
+      last_primary_id: The latest primary, also when it is gone.
       changed: Set and replaced whenever the primary changes.
     """
 
@@ -100,6 +105,8 @@
         self.primary_id: str | None = None
         self.lead_since: dict[str, int] = {}
         self.disowned: dict[str, int] = {}
+        self.departed: dict[str, float] = {}
+        self.last_primary_id: str | None = None
         self.changed = asyncio.Event()
         self.loop = asyncio.get_running_loop()
 
@@ -115,6 +122,8 @@
             if server is None or not server.same_process(lane.server):
                 lane.retire()
                 del self.lanes[server_id]
+                if not lane.server.leaving:
+                    self.departed[server_id] = self.loop.time()
                 self.lead_since.pop(server_id, None)
                 self.log.event("server_gone", group=self.name, server=server_id)
         for server in listed.values():
@@ -198,10 +207,24 @@
             new=server_id,
         )
         self.primary_id = server_id
+        self.last_primary_id = server_id or self.last_primary_id
         self.doubt = PrimaryDoubt()
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def unaccounted(self) -> list[str]:
+        """Return servers that may be back any moment, unknown to the list.
+
+        One of them may already confirm commits of a living primary.
+        """
+        oldest = self.loop.time() - RETURN_SECONDS
+        self.departed = {
+            server_id: since
+            for server_id, since in self.departed.items()
+            if since >= oldest and server_id not in self.lanes
+        }
+        return [one for one in self.departed if one != self.last_primary_id]
+
     def promoted(self, server_id: str) -> None:
         """Take in that the authority named a new primary.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -270,7 +270,10 @@
                 for one in answers
                 if one.status is not None
             ],
-            [one.server.server_id for one in replicas],
+            [
+                *(one.server.server_id for one in replicas),
+                *self.group.unaccounted(),
+            ],
             self.group.group.confirming_replicas,
         )
         if isinstance(choice, NoSuccessor):
