--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
@@ -11,13 +11,16 @@
     Doubt,
     PrimaryDoubt,
 )
+from jackdawcrank_policy.succession.relief import LAG_SECONDS, Relief
 
 __all__ = [
+    "LAG_SECONDS",
     "Claim",
     "Doubt",
     "FrozenServer",
     "NoSuccessor",
     "PrimaryDoubt",
+    "Relief",
     "Successor",
     "choose_successor",
     "next_claim",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -14,7 +14,7 @@
 from jackdawcrank_policy.catalog import ListedServer, ServedGroup
 from jackdawcrank_policy.floors import FloorHistory
 from jackdawcrank_policy.placement import Candidate, Distance, choose
-from jackdawcrank_policy.succession import Doubt, PrimaryDoubt
+from jackdawcrank_policy.succession import Doubt, PrimaryDoubt, Relief
 from jackdawcrank_policy.values.position import Position
 
 # A floor is renewed at half of the age that it may have, so that even one that
@@ -70,6 +70,7 @@
       questions: Asks the group's servers.
       refreshing: Asks the primary for a floor, while that is under way.
       doubt: Evidence against the present primary.
+      relief: Evidence that the present primary has to do everybody's work.
       primary_id: The present primary, or None while there is none.
       disowned: Servers that answered that they do not lead, by the revision
         of the report that claims it.
@@ -109,6 +110,7 @@
         self.last_primary_id: str | None = None
         self.changed = asyncio.Event()
         self.loop = asyncio.get_running_loop()
+        self.relief = Relief(self.loop.time())
 
     def apply_servers(self, servers: Iterable[ListedServer]) -> None:
         """Take in the servers that the group has now.
@@ -206,6 +208,8 @@
             old=self.primary_id,
             new=server_id,
         )
+        if server_id and self.last_primary_id not in (None, server_id):
+            self.relief.lead_moved(self.loop.time())
         self.primary_id = server_id
         self.last_primary_id = server_id or self.last_primary_id
         self.doubt = PrimaryDoubt()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -18,7 +18,9 @@
     Thaw,
 )
 from jackdawcrank.seams.lead_authority import LeadAnswer, LeadAuthority
+from jackdawcrank.seams.replies import ServerStatus
 from jackdawcrank_policy.succession import (
+    LAG_SECONDS,
     Claim,
     Doubt,
     FrozenServer,
@@ -47,6 +49,12 @@
 EFFECT_SECONDS = 3.0
 
 
+LEAVING = "leaving"
+MISSING = "missing"
+REPLICAS_LAG = "replicas_lag"
+# Reasons to move the lead of a primary that is well.
+PLANNED = frozenset({LEAVING, REPLICAS_LAG})
+
 Work = Coroutine[Any, Any, None]
 
 
@@ -140,12 +148,16 @@
             if self.primary_missing_since is None:
                 self.primary_missing_since = now
             missing = now - self.primary_missing_since
-            return "missing" if missing >= NO_PRIMARY_SECONDS else None
+            return MISSING if missing >= NO_PRIMARY_SECONDS else None
         self.primary_missing_since = None
         if lane.server.leaving:
-            return "leaving"
+            return LEAVING
         doubt = self.group.doubt.verdict(now)
-        return None if doubt is Doubt.NONE else doubt.value
+        if doubt is not Doubt.NONE:
+            return str(doubt.value)
+        if self.group.relief.wanted(now, lane.full_for()):
+            return REPLICAS_LAG
+        return None
 
     async def look_again(self) -> None:
         """Look for a primary that the store does not name."""
@@ -170,13 +182,16 @@
         await asyncio.sleep(self.rng.uniform(0.0, SPREAD_SECONDS))
         if self.reason() is None:
             return
-        if reason == "missing" and await self.look_for_primary():
+        if reason == MISSING and await self.look_for_primary():
             return
         old = self.group.primary_lane()
         old_id = old.server.server_id if old else ""
         if reason == Doubt.UNCONFIRMED.value and await self.keeps_up():
             self.group.doubt.confirmed()
             return
+        if reason == REPLICAS_LAG and not await self.all_lag():
+            self.not_before = self.loop.time() + RETRY_SECONDS
+            return
         lost = reason in (Doubt.SILENT.value, Doubt.REFUSING.value)
         if lost and old is not None and (await self.questions.leads(old)).alive:
             return
@@ -192,7 +207,7 @@
             reason=reason,
             token=claim.token,
         )
-        if reason == "leaving" and old is not None:
+        if reason in PLANNED and old is not None:
             result = await self.hand_over(granted, old)
         else:
             result = await self.take_over(granted, old)
@@ -208,19 +223,31 @@
 
     async def keeps_up(self) -> bool:
         """Return whether a replica has received what the primary had."""
+        return bool(await self.replicas_kept_up())
+
+    async def all_lag(self) -> bool:
+        """Return whether every replica that could lead shows old data."""
+        kept_up = await self.replicas_kept_up()
+        return bool(kept_up) and all(
+            one.lag_seconds >= LAG_SECONDS for one in kept_up
+        )
+
+    async def replicas_kept_up(self) -> list[ServerStatus]:
+        """Return the replicas that have received what the primary had."""
         primary = self.group.primary_lane()
         if primary is None:
-            return False
+            return []
         first = await self.questions.ask(primary, AskStatus())
         if first.status is None:
-            return False
+            return []
         replicas = self.replicas(primary)
         answers = await self.questions.ask_all(replicas, AskStatus())
-        return any(
-            one.status is not None
-            and one.status.received >= first.status.received
+        return [
+            one.status
             for one in answers
-        )
+            if one.status is not None
+            and one.status.received >= first.status.received
+        ]
 
     def replicas(self, primary: ServerLane | None) -> list[ServerLane]:
         """Return the lanes of all servers but one."""
@@ -392,12 +419,17 @@
         return True
 
     async def hand_over(self, granted: HeldClaim, old: ServerLane) -> "Result":
-        """Move the lead of a primary that is shutting down.
+        """Move the lead of a primary that answers.
 
         Args:
           granted: The right to do so.
-          old: The leaving primary.
+          old: The primary.
         """
+        first = await self.questions.leads(old)
+        if first.alive and not first.leads:
+            # Somebody else has moved it meanwhile.
+            await self.look_for_primary()
+            return Result.NOTHING_DONE
         staying = [one for one in self.replicas(old) if not one.server.leaving]
         answers = await self.questions.ask_all(staying, AskStatus())
         if not any(one.status for one in answers):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+import attrs
+
 from jackdawcrank.relay.await_reply import await_result
 from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.execution import (
@@ -24,6 +26,11 @@
 UNDO_SECONDS = 1.0
 
 
+@attrs.frozen
+class NotSent:
+    """No server has seen the statement."""
+
+
 class OpenTransaction:
     """Keeps a connection for a transaction until it ends.
 
@@ -63,13 +70,15 @@
           execution: The statement.
         """
         if self.ended:
-            return self.lost(execution.request_id, self.loop.time())
+            return self.not_sent(execution.request_id, self.loop.time())
         self.wrote = self.wrote or execution.writes
         sent_at = boot_seconds()
         start = self.loop.time()
         commands = setup_commands(self.link, session.memory, execution)
         commands.append(forward_command(self.link, execution))
         reply = await self.send(commands, start + self.timeout_seconds)
+        if isinstance(reply, NotSent):
+            return self.not_sent(execution.request_id, start)
         if reply is None:
             return self.lost(execution.request_id, start)
         self.answered(sent_at, start, reply)
@@ -86,7 +95,7 @@
 
     async def send(
         self, commands: list[Command], deadline: float
-    ) -> Reply | None:
+    ) -> Reply | NotSent | None:
         """Send commands; repeat the last while the server is full.
 
         A full server did not run it and keeps the transaction open.
@@ -100,7 +109,7 @@
             pause = pause_seconds(refusals)
             reply = await self.send_once(commands, deadline)
             if (
-                reply is None
+                not isinstance(reply, Reply)
                 or reply.problem is not Problem.BUSY
                 or reply.state is not SessionState.IN_TRANSACTION
                 or self.loop.time() + pause >= deadline
@@ -113,13 +122,13 @@
 
     async def send_once(
         self, commands: list[Command], deadline: float
-    ) -> Reply | None:
+    ) -> Reply | NotSent | None:
         """Send commands when it is their turn; return the last reply."""
         if not await self.lane.resume(self.link, deadline):
-            return None
+            return NotSent()
         if self.ended:
             # Rolled back meanwhile; it must not run by itself.
-            return None
+            return NotSent()
         self.running = True
         try:
             future = self.link.send(commands)[-1]
@@ -143,6 +152,22 @@
                     self.group.floors.learn(sent_at, reply.position)
                 self.group.doubt.answered()
 
+    def not_sent(self, request_id: str, start: float) -> Reply:
+        """Roll back, since a statement's turn did not come."""
+        self.undo()
+        self.group.log.event(
+            "transaction_statement",
+            request=request_id,
+            group=self.group.name,
+            server=self.lane.server.server_id,
+            outcome=Problem.ROLLED_BACK.value,
+            ms=round((self.loop.time() - start) * 1000),
+        )
+        return Reply(
+            problem=Problem.ROLLED_BACK,
+            detail="the server is full; the transaction is rolled back",
+        )
+
     def lost(self, request_id: str, start: float) -> Reply:
         """Give up a statement without an answer; nothing was committed."""
         self.note_lost("transaction_lost", request_id, start)
@@ -164,6 +189,8 @@
         reply = await self.send(
             [ForwardCommit(request_id)], start + self.timeout_seconds
         )
+        if isinstance(reply, NotSent):
+            return self.not_sent(request_id, start)
         if reply is None:
             return self.commit_lost(request_id, start)
         if self.link.state is SessionState.IDLE:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -22,7 +22,12 @@
 from jackdawcrank_policy.catalog import ListedServer
 from jackdawcrank_policy.placement import ServerCondition
 from jackdawcrank_policy.sessions import SessionMemory
-from jackdawcrank_policy.waiting import Turn, WaitingLine
+from jackdawcrank_policy.waiting import (
+    Patience,
+    Turn,
+    WaitingLine,
+    WaitLimits,
+)
 
 # Above a round trip between regions (40 ms) twice, a handshake behind a full
 # server (27 ms each) and a delayed packet.
@@ -33,13 +38,16 @@
 IDLE_SECONDS = 12.0
 # After a server was full, wait for others to give connections back.
 FULL_PAUSE_SECONDS = 0.25
+# A new connection takes one of a server's slots (3 to 6) for 12 to 27 ms, and
+# many proxies open theirs at once when all of them start.
+MAX_OPENING = 1
 
 Granted = ServerLink | NotOpened
 
 
 @attrs.frozen
 class Hopeless:
-    """The statement's turn cannot come in time."""
+    """The statement's turn did not come in time, or cannot."""
 
 
 @attrs.frozen
@@ -67,6 +75,7 @@
       loans: The connections in use, and since when.
       line: Who waits for one.
       turn: How long connections are in use.
+      patience: How long newcomers should wait for one.
       gate: Lets statements pass as the server can take them.
       sending: The connections with a statement under way, and since when.
       retired: Whether the server is gone.
@@ -95,6 +104,7 @@
         self.gate = StatementGate(max(MIN_WINDOW, window), limit)
         self.sending: dict[ServerLink, float] = {}
         self.turn = Turn()
+        self.patience = Patience()
         self.loans: dict[ServerLink, float] = {}
         self.line: WaitingLine[asyncio.Future[Granted]] = WaitingLine()
         self.retired = False
@@ -102,43 +112,41 @@
         self.loop = asyncio.get_running_loop()
 
     async def acquire(
-        self, memory: SessionMemory, priority: int, deadline: float
+        self, memory: SessionMemory, limits: WaitLimits
     ) -> Granted | Hopeless:
         """Return a connection, waiting for one if all are in use.
 
         Args:
           memory: What the session has set up; a fitting connection is
             preferred.
-          priority: 0 goes first.
-          deadline: When to give up, in seconds on the loop's clock.
+          limits: How the statement may wait, by the loop's clock.
         """
-        granted = await self.connect(memory, priority, deadline)
+        granted = await self.connect(memory, limits)
         if isinstance(granted, (NotOpened, Hopeless)):
             return granted
         # In this order, since whoever holds a place at the gate must be able
         # to go on: transactions need one while they keep their connections.
-        entry = await self.gate.enter(priority, deadline)
-        if entry is Entry.GRANTED:
+        if await self.gate.enter(limits) is Entry.GRANTED:
             self.sending[granted] = self.loop.time()
             return granted
         self.release(granted)
-        if entry is Entry.HOPELESS:
-            return Hopeless()
-        return NotOpened(OpenFailure.FULL, "too many statements wait")
+        return Hopeless()
 
     async def connect(
-        self, memory: SessionMemory, priority: int, deadline: float
+        self, memory: SessionMemory, limits: WaitLimits
     ) -> Granted | Hopeless:
         """Return a connection, opening one or waiting for one."""
+        now = self.loop.time()
+        deadline = self.patience.give_up_at(now, self.line.length, limits)
         link = self.take_idle(memory)
         if link is not None:
             return self.lend(link)
-        ahead = self.line.ahead_of(priority)
+        ahead = self.line.ahead_of(limits.priority)
         wait = self.turn.wait_seconds(ahead, self.limit)
-        if self.count >= self.limit and self.loop.time() + wait >= deadline:
+        if self.count >= self.limit and now + wait >= deadline:
             return Hopeless()
         granted: asyncio.Future[Granted] = self.loop.create_future()
-        place = self.line.join(priority, deadline, granted)
+        place = self.line.join(limits.priority, deadline, granted)
         self.open_more()
         try:
             async with asyncio.timeout_at(deadline):
@@ -146,7 +154,7 @@
         except TimeoutError:
             if granted.done() and not granted.cancelled():
                 return self.lend(granted.result())
-            return NotOpened(OpenFailure.FULL, "all connections are in use")
+            return Hopeless()
         finally:
             self.line.leave(place)
 
@@ -170,6 +178,7 @@
         sent_at = self.sending.pop(link, None)
         if sent_at is not None:
             self.gate.leave(self.loop.time() - sent_at)
+            self.open_more()
 
     async def resume(self, link: ServerLink, deadline: float) -> bool:
         """Wait until a transaction's next statement may be sent.
@@ -178,8 +187,8 @@
           link: The transaction's connection.
           deadline: When to give up, in seconds on the loop's clock.
         """
-        entry = await self.gate.enter(TRANSACTION_PRIORITY, deadline)
-        if entry is not Entry.GRANTED:
+        limits = WaitLimits(TRANSACTION_PRIORITY, deadline, deadline)
+        if await self.gate.enter(limits) is not Entry.GRANTED:
             return False
         if link not in self.loans:
             self.gate.leave(0.0)
@@ -187,6 +196,13 @@
         self.sending[link] = self.loop.time()
         return True
 
+    def full_for(self) -> float:
+        """Return for how long statements have waited here, in seconds."""
+        now = self.loop.time()
+        return max(
+            self.patience.busy_for(now), self.gate.patience.busy_for(now)
+        )
+
     def has_spare_link(self) -> bool:
         """Return whether a connection is idle or may still be opened."""
         return bool(self.idle) or self.count < self.limit
@@ -275,10 +291,14 @@
         self.open_more()
 
     def open_more(self) -> None:
-        """Open as many connections as are waited for and allowed."""
+        """Open a connection if one is waited for and could be used."""
         if self.retired or self.loop.time() < self.full_until:
             return
-        while self.opening < self.line.length and self.count < self.limit:
+        # One more would only wait at the gate, too.
+        if self.gate.line.length:
+            return
+        wanted = min(self.line.length, MAX_OPENING)
+        while self.opening < wanted and self.count < self.limit:
             self.begin_open()
 
     def begin_open(self) -> None:
@@ -303,6 +323,7 @@
         else:
             self.condition.showed(outcome.first_position)
             self.release(outcome)
+        self.open_more()
 
     def not_opened(self, outcome: NotOpened) -> None:
         """Tell whoever waits that there is no connection.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_gate.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_gate.py
@@ -3,7 +3,13 @@
 import asyncio
 import enum
 
-from jackdawcrank_policy.waiting import Turn, WaitingLine, Window
+from jackdawcrank_policy.waiting import (
+    Patience,
+    Turn,
+    WaitingLine,
+    WaitLimits,
+    Window,
+)
 
 # Transactions under way hold locks and a connection: their statements go
 # before any new work, whose priorities begin at 0.
@@ -15,8 +21,7 @@
 
     GRANTED = "granted"
     HOPELESS = "hopeless"
-    """Its turn cannot come in time."""
-    TOO_LATE = "too_late"
+    """Its turn did not come in time, or cannot."""
 
 
 class StatementGate:
@@ -27,6 +32,7 @@
       under_way: How many are.
       line: Who waits.
       turn: How long statements take.
+      patience: How long newcomers should wait.
     """
 
     def __init__(self, size: float, most: float) -> None:
@@ -34,30 +40,32 @@
         self.under_way = 0
         self.line: WaitingLine[asyncio.Future[None]] = WaitingLine()
         self.turn = Turn()
+        self.patience = Patience()
         self.loop = asyncio.get_running_loop()
 
-    async def enter(self, priority: int, deadline: float) -> Entry:
+    async def enter(self, limits: WaitLimits) -> Entry:
         """Wait until a statement may be sent.
 
         Args:
-          priority: Lower goes first.
-          deadline: When to give up, in seconds on the loop's clock.
+          limits: How it may wait, by the loop's clock.
         """
+        now = self.loop.time()
+        deadline = self.patience.give_up_at(now, self.line.length, limits)
         if self.window.admits(self.under_way) and not self.line.length:
             self.under_way += 1
             return Entry.GRANTED
-        ahead = self.line.ahead_of(priority)
+        ahead = self.line.ahead_of(limits.priority)
         wait = self.turn.wait_seconds(ahead, int(self.window.size))
-        if self.loop.time() + wait >= deadline:
+        if now + wait >= deadline:
             return Entry.HOPELESS
         passed: asyncio.Future[None] = self.loop.create_future()
-        place = self.line.join(priority, deadline, passed)
+        place = self.line.join(limits.priority, deadline, passed)
         try:
             async with asyncio.timeout_at(deadline):
                 await passed
         except TimeoutError:
             if not passed.done() or passed.cancelled():
-                return Entry.TOO_LATE
+                return Entry.HOPELESS
         finally:
             self.line.leave(place)
         return Entry.GRANTED
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -27,6 +27,7 @@
 from jackdawcrank.seams.server_link import NotOpened, OpenFailure, ServerLink
 from jackdawcrank_policy.catalog import Consistency, DatabaseSpec
 from jackdawcrank_policy.values.position import Position
+from jackdawcrank_policy.waiting import STANDING_SHARE, WaitLimits
 
 # An answer this many times later than expected is taken for lost: our users'
 # longest work is 12 times the mean.
@@ -35,10 +36,18 @@
 MIN_ATTEMPT_SECONDS = 0.3
 # A second attempt needs the other half of a statement's time.
 MAX_ATTEMPT_SHARE = 0.5
+# A statement is not sent with less time left than this many times what its
+# answer should take: a write that is given up is in doubt, and a read that is
+# given up has only kept the server from others.
+SEND_FACTOR = 3.0
 # The age of data counts until the server reads it: a round trip between
 # regions (80 ms), twice, and a late timer.
 AGE_MARGIN_SECONDS = 0.25
 NO_PRIMARY = "no primary"
+SILENT = "silent"
+CONNECTION_LOST = "connection lost"
+ANSWER_LOST = "answer lost"
+OUT_OF_TIME = "out of time"
 
 
 @attrs.define
@@ -172,7 +181,7 @@
             silent = not link.closed
             group.note_lost(lane, silent, start, wrote=True)
             self.give_back(lane, link, broken=True)
-            attempts.reason = "silent" if silent else "connection lost"
+            attempts.reason = SILENT if silent else CONNECTION_LOST
             return Reply(
                 problem=Problem.IN_DOUBT,
                 detail="the server did not answer the write",
@@ -211,7 +220,7 @@
         batch = setup_commands(link, session.memory, execution)
         batch.append(forward_command(link, execution, needed))
         reply = await self.read_reply(
-            group, lane, link.send(batch)[-1], attempts
+            group, lane, link, link.send(batch)[-1], attempts
         )
         if reply is None:
             self.give_back(lane, link, broken=True)
@@ -231,6 +240,8 @@
         """Return an answer to a read that may be given, or None."""
         if reply.problem is None:
             lane.condition.caught_up()
+            if lane is not group.primary_lane():
+                group.relief.replica_answered(self.loop.time())
             return reply
         if reply.problem in NOT_RUN:
             self.note_refusal(group, lane, reply, attempts)
@@ -245,6 +256,7 @@
         self,
         group: GroupRelay,
         lane: ServerLane,
+        link: ServerLink,
         future: asyncio.Future[Reply],
         attempts: Attempts,
     ) -> Reply | None:
@@ -256,13 +268,7 @@
         )
         now = self.loop.time()
         if reply is None:
-            silent = now - start >= limit
-            attempts.reason = "silent" if silent else "connection lost"
-            attempts.excluded.add(lane.server.server_id)
-            lane.condition.failed(now)
-            if silent:
-                lane.condition.gave_up(now - start)
-            group.note_lost(lane, silent, start)
+            self.note_no_answer(group, lane, link, attempts, start, limit)
             return None
         if reply.problem is None:
             lane.condition.answered(now - start, now)
@@ -270,6 +276,38 @@
             group.doubt.answered()
         return reply
 
+    def note_no_answer(
+        self,
+        group: GroupRelay,
+        lane: ServerLane,
+        link: ServerLink,
+        attempts: Attempts,
+        start: float,
+        limit: float,
+    ) -> None:
+        """Take in that the answer to a statement did not come.
+
+        Args:
+          group: The statement's group.
+          lane: Where it was sent.
+          link: The connection that it was sent on.
+          attempts: Its attempts.
+          start: When it was sent, in seconds on the loop's clock.
+          limit: How long an answer was waited for, unless time ran out.
+        """
+        now = self.loop.time()
+        if not link.closed and now - start < limit:
+            # This says nothing about the server.
+            late = now >= attempts.deadline
+            attempts.reason = OUT_OF_TIME if late else ANSWER_LOST
+            return
+        attempts.reason = CONNECTION_LOST if link.closed else SILENT
+        attempts.excluded.add(lane.server.server_id)
+        lane.condition.failed(now)
+        if not link.closed:
+            lane.condition.gave_up(now - start)
+        group.note_lost(lane, not link.closed, start)
+
     def attempt_seconds(
         self, lane: ServerLane, attempts: Attempts, now: float
     ) -> float:
@@ -318,7 +356,7 @@
         batch.append(commands.UndoTransaction())
         sent_at = boot_seconds()
         futures = link.send(batch)
-        reply = await self.read_reply(group, lane, futures[-2], attempts)
+        reply = await self.read_reply(group, lane, link, futures[-2], attempts)
         if reply is None:
             self.give_back(lane, link, broken=True)
             return None
@@ -420,11 +458,7 @@
         future = link.send(batch)[-1]
         reply = await await_reply(future, min(attempts.deadline, start + limit))
         if reply is None:
-            silent = self.loop.time() - start >= limit
-            attempts.reason = "silent" if silent else "connection lost"
-            attempts.excluded.add(lane.server.server_id)
-            lane.condition.failed(self.loop.time())
-            group.note_lost(lane, silent, start)
+            self.note_no_answer(group, lane, link, attempts, start, limit)
             self.give_back(lane, link, broken=True)
             return None
         lane.condition.showed(reply.position)
@@ -456,7 +490,7 @@
         spec, group = resolved(session)
         attempts.server = lane.server.server_id
         granted = await lane.acquire(
-            session.memory, spec.priority, attempts.deadline
+            session.memory, self.wait_limits(spec, lane, attempts)
         )
         if isinstance(granted, Hopeless):
             attempts.reason = OpenFailure.FULL.value
@@ -471,6 +505,18 @@
             return None
         return granted
 
+    def wait_limits(
+        self, spec: DatabaseSpec, lane: ServerLane, attempts: Attempts
+    ) -> WaitLimits:
+        """Return how a statement may wait for a connection of a lane."""
+        now = self.loop.time()
+        seconds = attempts.deadline - attempts.started_at
+        expected = lane.condition.expected_seconds(now, MIN_ATTEMPT_SECONDS)
+        needed = max(MIN_ATTEMPT_SECONDS, SEND_FACTOR * expected)
+        latest = attempts.deadline - min(seconds * MAX_ATTEMPT_SHARE, needed)
+        early = attempts.started_at + seconds * STANDING_SHARE
+        return WaitLimits(spec.priority, latest, min(latest, early))
+
     def give_back(
         self, lane: ServerLane, link: ServerLink, broken: bool
     ) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/seams/replies.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/replies.py
@@ -75,8 +75,10 @@
       leads: Whether it takes itself for the primary.
       term: The newest term that it knows.
       received: The last log entry that it has received.
+      lag_seconds: How far the data that it shows is behind that.
     """
 
     leads: bool
     term: int
     received: Position
+    lag_seconds: float = 0.0
