--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/cause.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/cause.py
@@ -10,6 +10,8 @@
     "refused": "server {server} refused connections",
     "connection lost": "the connection to {server} ended before the answer",
     "wrong_server": "another server now listens where {server} was",
+    "answer lost": "the answer of {server} was lost on its way",
+    "out of time": "too little time was left when {server} was asked",
     "lacks_position": "no replica had the log position {needed}",
     "not_primary": "server {server} no longer led its group",
 }
@@ -65,7 +67,7 @@
 def refused(chain: Chain, last: LogLine) -> str:
     """Return why a statement was refused."""
     reason = last.text("reason")
-    if reason == "no primary":
+    if reason.startswith("no primary"):
         return no_primary(chain)
     text = BY_REASON.get(reason, reason or last.text("outcome"))
     text = text.format(
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/relief.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/relief.py
@@ -11,10 +11,10 @@
 import attrs
 
 # Longer than a burst takes to be worked off (0.5 s) and a hand-over (1 s).
-FULL_SECONDS = 1.5
+FULL_SECONDS = 1.0
 # Proven reads come many times a second; replicas that lag for less than this
 # are back before a hand-over is done.
-BEHIND_SECONDS = 1.5
+BEHIND_SECONDS = 1.0
 # What the replicas must say of their lag: twice the longest hand-over (1 s).
 LAG_SECONDS = 2.0
 # The lead moves once for a spell of lag; the users' longest last 20 to 30 s.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -294,8 +294,8 @@
         """Open a connection if one is waited for and could be used."""
         if self.retired or self.loop.time() < self.full_until:
             return
-        # One more would only wait at the gate, too.
-        if self.gate.line.length:
+        # Whoever got it would only wait at the gate.
+        if not self.gate.has_room():
             return
         wanted = min(self.line.length, MAX_OPENING)
         while self.opening < wanted and self.count < self.limit:
@@ -323,7 +323,8 @@
         else:
             self.condition.showed(outcome.first_position)
             self.release(outcome)
-        self.open_more()
+        # Whoever got this one comes to the gate first.
+        self.loop.call_soon(self.open_more)
 
     def not_opened(self, outcome: NotOpened) -> None:
         """Tell whoever waits that there is no connection.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_gate.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_gate.py
@@ -51,7 +51,7 @@
         """
         now = self.loop.time()
         deadline = self.patience.give_up_at(now, self.line.length, limits)
-        if self.window.admits(self.under_way) and not self.line.length:
+        if self.has_room():
             self.under_way += 1
             return Entry.GRANTED
         ahead = self.line.ahead_of(limits.priority)
@@ -70,6 +70,10 @@
             self.line.leave(place)
         return Entry.GRANTED
 
+    def has_room(self) -> bool:
+        """Return whether a statement would pass without waiting."""
+        return self.window.admits(self.under_way) and not self.line.length
+
     def leave(self, seconds: float) -> None:
         """Take in that a statement is under way no more.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -44,6 +44,7 @@
 # regions (80 ms), twice, and a late timer.
 AGE_MARGIN_SECONDS = 0.25
 NO_PRIMARY = "no primary"
+UNSERVABLE = "no primary, and no store to find one"
 SILENT = "silent"
 CONNECTION_LOST = "connection lost"
 ANSWER_LOST = "answer lost"
@@ -120,9 +121,9 @@
         """Return whether another attempt can be of use."""
         if attempts.hopeless or self.loop.time() >= attempts.deadline:
             return False
-        if attempts.reason != NO_PRIMARY:
-            return True
-        return not group.contact.lost or group.usable_primary() is not None
+        if attempts.reason == UNSERVABLE:
+            return group.usable_primary() is not None
+        return True
 
     def note(
         self,
@@ -478,7 +479,8 @@
         _, group = resolved(session)
         lane = await group.wait_for_primary(attempts.deadline)
         if lane is None:
-            attempts.reason = NO_PRIMARY
+            lost = group.contact.lost
+            attempts.reason = UNSERVABLE if lost else NO_PRIMARY
             return None
         link = await self.lease(lane, session, attempts)
         return (lane, link) if link else None
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_server.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_server.py
@@ -8,6 +8,10 @@
 import attrs
 
 Position = tuple[int, int]
+# As the users' servers report themselves.
+SLOTS = 5
+# A server that shows old data says that it is this old.
+STUCK_LAG_MS = 5_000
 
 
 @attrs.frozen
@@ -86,6 +90,9 @@
       deaf: Whether it receives nothing from the primary.
       busy_for: The next so many reads, writes and commits get BUSY.
       lost_answers: The answers of the next so many of these are lost.
+      slots: Reads, writes and commits that it runs at once.
+      shown: How many entries of its log it shows; None for all of them. A
+        server that is promoted shows all.
       frozen_term: The term up to which it was told to receive nothing.
       runs: Every statement that it ran.
     """
@@ -110,6 +117,8 @@
         self.busy_for = 0
         self.lost_answers = 0
         self.work_seconds = 0.0
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.shown: int | None = None
         self.frozen_term = 0
         self.term = 1
         self.max_connections = 50
@@ -154,8 +163,19 @@
         self.log[:] = log
 
     def position(self) -> Position:
-        """Return the last entry's position."""
-        return self.log[-1].position if self.log else (1, 0)
+        """Return the position of the last entry."""
+        return last_position(self.log)
+
+    def shown_log(self) -> list[Commit]:
+        """Return the entries that it shows."""
+        if self.leads or self.shown is None:
+            return self.log
+        return self.log[: self.shown]
+
+    def lag_ms(self) -> int:
+        """Return how old the data is that it shows."""
+        behind = len(self.log) - len(self.shown_log())
+        return STUCK_LAG_MS if behind else 0
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -211,7 +231,7 @@
         lines: list[str],
     ) -> None:
         """Send an answer and where the session stands."""
-        term, number = self.position()
+        term, number = last_position(self.shown_log())
         lines = [*lines, f"READY {session.state} {term}.{number}"]
         writer.write("".join(f"{one}\r\n" for one in lines).encode())
 
@@ -227,13 +247,14 @@
         word, _, rest = text.partition(" ")
         if session.state == "E" and word not in ("ROLLBACK", "COMMIT"):
             return ["ERROR MALFORMED transaction failed"]
-        if needed and self.position() < needed:
+        if needed and last_position(self.shown_log()) < needed:
             return self.problem(session, "LAGGING")
         if word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
             if self.busy_for:
                 self.busy_for -= 1
                 return [f"ERROR BUSY {self.server_id}"]
-            await asyncio.sleep(self.work_seconds)
+            async with self.slots:
+                await asyncio.sleep(self.work_seconds)
             answer = await self.run_data(session, request_id, word, rest, text)
             if self.lost_answers and request_id != "-":
                 self.lost_answers -= 1
@@ -310,7 +331,8 @@
 
     def value(self, session: Session, item: str) -> str:
         """Return what an item holds, as the session sees it."""
-        writes = [one for commit in self.log for one in commit.writes]
+        shown = self.shown_log()
+        writes = [one for commit in shown for one in commit.writes]
         found = [
             data for name, data in [*writes, *session.pending] if name == item
         ]
@@ -363,7 +385,17 @@
         role = "primary" if self.leads else "replica"
         term, number = self.position()
         return [
-            f"ROW {role} {self.term} {term}.{number} {self.frozen_term} 0 0 "
+            f"ROW {role} {self.term} {term}.{number} {self.frozen_term} "
+            f"{self.lag_ms()} 0 "
             f"{self.open_connections}",
             "COMPLETE -",
         ]
+
+
+def last_position(log: list[Commit]) -> Position:
+    """Return the position of a log's last entry.
+
+    Args:
+      log: The log.
+    """
+    return log[-1].position if log else (1, 0)
