--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/__init__.py
@@ -8,8 +8,15 @@
 )
 from jackdawcrank_policy.homes.home_vms import home_count, home_vms
 from jackdawcrank_policy.homes.member import Member
+from jackdawcrank_policy.homes.watch_order import (
+    MOST_CONTACTS,
+    VOUCHERS,
+    vms_above,
+)
 
 __all__ = [
+    "MOST_CONTACTS",
+    "VOUCHERS",
     "HomeIndex",
     "HomePlan",
     "Member",
@@ -17,4 +24,5 @@
     "home_vms",
     "plan_homes",
     "region_homes",
+    "vms_above",
 ]
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -257,10 +257,15 @@
         {"count": "how many there are"},
     ),
     EventSpec(
-        "members_unread",
-        "the VMs' rows could not be read",
+        "member_unwritten",
+        "this VM's own row could not be written; it is tried again",
         {"detail": "why"},
     ),
+    EventSpec(
+        "relies_on_others",
+        "others began or ceased to tell this VM what the store holds",
+        {"tables": "the tables that they vouch for now"},
+    ),
     EventSpec(
         "member_unreadable",
         "a VM's row cannot be read; the VM is left out",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
@@ -1,14 +1,17 @@
 """The declarations in force and the servers that are listed."""
 
 import asyncio
-from collections.abc import Callable
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.group_relay import GroupRelay, Whereabouts
 from jackdawcrank.relay.homes import Homes
 from jackdawcrank.relay.store_contact import StoreContact
 from jackdawcrank.seams.declaration_source import DeclarationFormat
-from jackdawcrank.seams.metadata_store import StoredRow, TableChanges
+from jackdawcrank.seams.metadata_store import (
+    StoredRow,
+    TableChanges,
+    TableImage,
+)
 from jackdawcrank.seams.server_link import LinkOpener
 from jackdawcrank_policy.catalog import (
     DatabaseSpec,
@@ -30,7 +33,6 @@
       groups: The groups that databases use.
       servers_known: Whether the servers were read at least once.
       servers_seen: Set once they were.
-      stored: Told of each version's row.
       ready: Set once databases are known.
     """
 
@@ -55,7 +57,6 @@
         self.groups: dict[str, GroupRelay] = {}
         self.servers_known = False
         self.servers_seen = asyncio.Event()
-        self.stored: Callable[[StoredRow], None] | None = None
         self.ready = asyncio.Event()
         self.loop = asyncio.get_running_loop()
 
@@ -73,13 +74,13 @@
         group = self.groups.get(spec.group)
         return (spec, group) if group else None
 
-    def declarations_read(self, rows: tuple[StoredRow, ...]) -> None:
+    def declarations_read(self, image: TableImage) -> None:
         """Take in the table of declarations.
 
         Args:
-          rows: Its rows.
+          image: Its rows.
         """
-        for row in rows:
+        for row in image.rows:
             self.declared(row)
 
     def declarations_changed(self, changes: TableChanges) -> None:
@@ -88,7 +89,8 @@
         Args:
           changes: What was written.
         """
-        self.declarations_read(changes.rows)
+        for row in changes.rows:
+            self.declared(row)
 
     def declared(self, row: StoredRow) -> None:
         """Put a version into force, unless a newer one is.
@@ -102,8 +104,6 @@
         if not declarations.supersedes(self.declarations):
             return
         self.declarations = declarations
-        if self.stored is not None:
-            self.stored(row)
         self.log.event(
             "configuration_in_force",
             version=declarations.version,
@@ -112,17 +112,17 @@
         )
         self.regroup()
 
-    def servers_read(self, rows: tuple[StoredRow, ...]) -> None:
+    def servers_read(self, image: TableImage) -> None:
         """Take in the whole table of servers.
 
         Args:
-          rows: Its rows.
+          image: Its rows.
         """
         self.servers_known = True
         self.servers_seen.set()
-        for key in self.servers.keys() - {row.key for row in rows}:
+        for key in self.servers.keys() - {row.key for row in image.rows}:
             self.went_missing(key)
-        for row in rows:
+        for row in image.rows:
             self.reported(row)
         self.regroup()
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
@@ -11,6 +11,11 @@
 
 from jackdawcrank.relay.execution import Execution
 from jackdawcrank.relay.session_view import SessionView
+from jackdawcrank.seams.metadata_store import (
+    StoredRow,
+    TableChanges,
+    TableImage,
+)
 from jackdawcrank.seams.replies import Problem, Reply, SessionState
 from jackdawcrank_policy.catalog import Consistency, DatabaseSpec
 from jackdawcrank_policy.sessions import PreparedStatement
@@ -29,10 +34,11 @@
     COMMIT = 4
     UNDO = 5
     ANSWER = 6
-    FOLLOW_DECLARATIONS = 7
-    DECLARATIONS = 8
     ALIVE = 9
     LEAVING = 10
+    FOLLOW = 11
+    IMAGE = 12
+    CHANGES = 13
 
 
 Fields = list[typing.Any]
@@ -162,3 +168,35 @@
         SessionState(state),
         decode_position(position),
     )
+
+
+def encode_rows(rows: typing.Iterable[StoredRow]) -> Fields:
+    """Return rows as sent."""
+    return [[row.key, row.value, row.revision] for row in rows]
+
+
+def decode_rows(fields: Fields) -> tuple[StoredRow, ...]:
+    """Return the rows that were sent."""
+    return tuple(StoredRow(*row) for row in fields)
+
+
+def encode_image(image: TableImage) -> Fields:
+    """Return a table as sent."""
+    return [encode_rows(image.rows), image.revision, image.store_seconds]
+
+
+def decode_image(fields: Fields) -> TableImage:
+    """Return the table that was sent."""
+    rows, revision, store_seconds = fields
+    return TableImage(decode_rows(rows), revision, store_seconds)
+
+
+def encode_changes(changes: TableChanges) -> Fields:
+    """Return changes as sent."""
+    return [encode_rows(changes.rows), changes.removed, changes.revision]
+
+
+def decode_changes(fields: Fields) -> TableChanges:
+    """Return the changes that were sent."""
+    rows, removed, revision = fields
+    return TableChanges(decode_rows(rows), tuple(removed), revision)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
@@ -1,7 +1,7 @@
 """Sending statements to a home, or running them here."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -24,16 +24,14 @@
 from jackdawcrank.relay.remote_transaction import RemoteTransaction
 from jackdawcrank.relay.session_view import SessionView
 from jackdawcrank.relay.statement_runner import StatementRunner, resolved
+from jackdawcrank.relay.table_follower import TableFollower
 from jackdawcrank.relay.transaction_view import Transaction
-from jackdawcrank.seams.metadata_store import StoredRow
 from jackdawcrank.seams.replies import Problem, Reply
 from jackdawcrank_policy.homes import Member
 
 # A home that could not be reached is passed over for this long: the time in
 # which a killed process starts again.
 PASS_OVER_SECONDS = 1.0
-# Longer than twice the interval at which a home vouches for its declarations.
-VOUCHED_SECONDS = 2.5
 
 
 @attrs.define
@@ -51,6 +49,21 @@
     not_before: float = 0.0
 
 
+@attrs.frozen
+class Forwarded:
+    """A request that a home has answered.
+
+    Attributes:
+      stream: The stream to the home.
+      number: The request's number on it.
+      answer: What the home answered.
+    """
+
+    stream: HomeStream
+    number: int
+    answer: HomeAnswer
+
+
 class HomeRouter:
     """Runs statements where their group's connections are.
 
@@ -65,13 +78,13 @@
         local: StatementRunner,
         homes: Homes,
         log: DecisionLog,
-        on_declarations: Callable[[StoredRow], None],
+        followers: Mapping[str, TableFollower],
         notice_dead_peer: Callable[[asyncio.BaseTransport], None],
     ) -> None:
         self.local = local
         self.homes = homes
         self.log = log
-        self.on_declarations = on_declarations
+        self.followers = followers
         self.notice_dead_peer = notice_dead_peer
         self.routes: dict[str, Route] = {}
         self.loop = asyncio.get_running_loop()
@@ -84,16 +97,16 @@
             if route.stream:
                 route.stream.abort()
 
-    def vouched(self) -> bool:
-        """Return whether a home keeps the declarations here up to date."""
-        oldest = self.loop.time() - VOUCHED_SECONDS
-        return any(
-            route.stream is not None
-            and not route.stream.closed
-            and route.stream.heard_at is not None
-            and route.stream.heard_at >= oldest
-            for route in self.routes.values()
-        )
+    def stream_to(self, vm: str) -> HomeStream | None:
+        """Return the open stream to a VM, or None.
+
+        Args:
+          vm: The VM's name.
+        """
+        route = self.routes.get(vm)
+        if route is None or route.stream is None or route.stream.closed:
+            return None
+        return route.stream
 
     async def run_single(
         self, session: SessionView, execution: Execution
@@ -104,23 +117,13 @@
           session: Whose it is; its database is resolved.
           execution: The statement.
         """
-        spec, group = resolved(session)
-        deadline = self.loop.time() + spec.statement_timeout_seconds
-        while not self.homes.is_home(group.group):
-            stream = await self.stream_for(session, deadline)
-            if stream is None:
-                break
-            _, answer = await self.ask(
-                stream, Kind.RUN, session, execution, deadline
-            )
-            if isinstance(answer, HomeAnswer):
-                session.saw(answer.seen)
-                return answer.reply
-            if answer.sent and execution.writes:
-                return self.in_doubt(session, execution)
-            if self.loop.time() >= deadline:
-                return self.too_late(session, execution)
-        return await self.local.run_single(session, execution)
+        forwarded = await self.forward(Kind.RUN, session, execution)
+        if forwarded is None:
+            return await self.local.run_single(session, execution)
+        if isinstance(forwarded, Reply):
+            return forwarded
+        session.saw(forwarded.answer.seen)
+        return forwarded.answer.reply
 
     async def begin(
         self, session: SessionView, execution: Execution | None
@@ -131,23 +134,49 @@
           session: Whose it is; its database is resolved.
           execution: Its first statement, if there is one.
         """
+        forwarded = await self.forward(Kind.BEGIN, session, execution)
+        if forwarded is None:
+            return await self.local.begin(session, execution)
+        if isinstance(forwarded, Reply):
+            return forwarded
+        if forwarded.answer.reply.problem is not None:
+            return forwarded.answer.reply
+        spec, _ = resolved(session)
+        return RemoteTransaction(
+            forwarded.stream, forwarded.number, spec, self.log
+        )
+
+    async def forward(
+        self, kind: Kind, session: SessionView, execution: Execution | None
+    ) -> Forwarded | Reply | None:
+        """Have a home run a request.
+
+        Args:
+          kind: What is asked of it.
+          session: Whose request it is.
+          execution: The statement, if there is one.
+
+        Returns:
+          What a home answered, a problem of the proxy's own, or None if the
+          request is to be run here.
+        """
         spec, group = resolved(session)
         deadline = self.loop.time() + spec.statement_timeout_seconds
         while not self.homes.is_home(group.group):
             stream = await self.stream_for(session, deadline)
             if stream is None:
-                break
+                return None
             number, answer = await self.ask(
-                stream, Kind.BEGIN, session, execution, deadline
+                stream, kind, session, execution, deadline
             )
-            if isinstance(answer, HomeLost):
-                if self.loop.time() >= deadline:
-                    return self.too_late(session, execution)
-                continue
-            if answer.reply.problem is not None:
-                return answer.reply
-            return RemoteTransaction(stream, number, spec, self.log)
-        return await self.local.begin(session, execution)
+            if isinstance(answer, HomeAnswer):
+                return Forwarded(stream, number, answer)
+            writes = execution is not None and execution.writes
+            if answer.sent and kind is Kind.RUN and writes:
+                return self.in_doubt(session, execution)
+            if self.loop.time() >= deadline:
+                return self.too_late(session, execution)
+        return None
 
     async def ask(
         self,
@@ -169,11 +198,13 @@
         timeout = deadline + HOME_MARGIN_SECONDS - self.loop.time()
         return number, await stream.call(number, body, timeout)
 
-    def in_doubt(self, session: SessionView, execution: Execution) -> Reply:
+    def in_doubt(
+        self, session: SessionView, execution: Execution | None
+    ) -> Reply:
         """Return that a home took a write with it."""
         self.log.event(
             "home_lost",
-            request=execution.request_id,
+            request=execution.request_id if execution else "",
             database=session.database,
             outcome=Problem.IN_DOUBT.value,
         )
@@ -209,8 +240,9 @@
     async def reach(self, member: Member) -> HomeStream | None:
         """Return a stream to a home, connecting if there is none."""
         route = self.routes.setdefault(member.vm, Route())
-        if route.stream is not None and not route.stream.closed:
-            return route.stream
+        stream = self.stream_to(member.vm)
+        if stream is not None:
+            return stream
         if self.loop.time() < route.not_before:
             return None
         if route.opening is None:
@@ -221,7 +253,7 @@
         """Connect to a home."""
         try:
             route.stream = await open_stream(
-                member, self.on_declarations, self.notice_dead_peer
+                member, self.followers, self.notice_dead_peer
             )
         finally:
             route.opening = None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
@@ -22,17 +22,13 @@
     unpack,
 )
 from jackdawcrank.relay.statement_runner import StatementRunner
+from jackdawcrank.relay.table_teller import TableTeller
 from jackdawcrank.relay.transaction_view import Transaction
-from jackdawcrank.seams.metadata_store import StoredRow
 from jackdawcrank.seams.replies import Problem, Reply
-from jackdawcrank.timer.subscription import Subscription
-from jackdawcrank.timer.timer import Timer
 from jackdawcrank_policy.catalog import DatabaseSpec
 from jackdawcrank_policy.sessions import SessionMemory
 from jackdawcrank_policy.values.position import Position
 
-# A proxy that hears nothing for twice this long reads the store itself.
-ALIVE_SECONDS = 1.0
 # A home that was just chosen reads the servers first: one call.
 SERVERS_WAIT_SECONDS = 1.0
 
@@ -90,16 +86,12 @@
 
     Attributes:
       transactions: Its open transactions by number.
-      follows: Whether it wants to be told declarations.
-      told_revision: The newest ones that it was told.
     """
 
     def __init__(self, home: "HomeServer") -> None:
         super().__init__()
         self.home = home
         self.transactions: dict[int, tuple[ForwardedSession, Transaction]] = {}
-        self.follows = False
-        self.told_revision = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -112,6 +104,7 @@
         """Roll back what the proxy left behind."""
         self.closed = True
         self.home.connections.discard(self)
+        self.home.teller.forget(self)
         for _, transaction in self.transactions.values():
             transaction.undo()
         self.transactions.clear()
@@ -124,9 +117,8 @@
             self.home.log.event("peer_message_unreadable", detail=str(error))
             self.abort()
             return
-        if kind is Kind.FOLLOW_DECLARATIONS:
-            self.follows = True
-            self.home.tell_declarations(self)
+        if kind is Kind.FOLLOW:
+            self.home.teller.listen(self, (str(one) for one in fields))
         elif kind is Kind.UNDO:
             _, transaction = self.transactions.pop(fields[0], (None, None))
             if transaction is not None:
@@ -234,8 +226,7 @@
       runner: Runs what they forward.
       directory: Knows the groups.
       connections: The proxies that are connected.
-      declarations: The newest stored declarations.
-      may_vouch: Tells whether the store answered lately.
+      teller: Tells them what the store's tables hold.
     """
 
     def __init__(
@@ -246,7 +237,7 @@
         directory: Directory,
         log: DecisionLog,
         notice_dead_peer: Callable[[asyncio.BaseTransport], None],
-        may_vouch: Callable[[], bool],
+        teller: TableTeller,
     ) -> None:
         self.host = host
         self.port = port
@@ -254,33 +245,22 @@
         self.directory = directory
         self.log = log
         self.notice_dead_peer = notice_dead_peer
-        self.may_vouch = may_vouch
+        self.teller = teller
         self.connections: set[HomeConnection] = set()
-        self.declarations: StoredRow | None = None
         self.wanted = asyncio.Event()
         self.server: asyncio.Server | None = None
-        self.subscription: Subscription | None = None
 
-    async def start(self, timer: Timer) -> None:
-        """Begin to listen.
-
-        Args:
-          timer: Calls back.
-        """
+    async def start(self) -> None:
+        """Begin to listen."""
         self.server = await asyncio.get_running_loop().create_server(
             lambda: HomeConnection(self),
             self.host,
             self.port,
             reuse_address=True,
         )
-        self.subscription = timer.subscribe(
-            "home", ALIVE_SECONDS, self.tell_alive
-        )
 
     async def close(self) -> None:
         """Stop listening and end every stream."""
-        if self.subscription:
-            self.subscription.close()
         if self.server:
             self.server.close()
         for connection in list(self.connections):
@@ -307,40 +287,3 @@
         name = session.spec.group if session.spec else ""
         session.group = self.directory.groups.get(name)
         return session.group is not None
-
-    def declarations_stored(self, row: StoredRow) -> None:
-        """Take in newer declarations and tell them.
-
-        Args:
-          row: The stored declarations.
-        """
-        self.declarations = row
-        for connection in self.connections:
-            if connection.follows:
-                self.tell_declarations(connection)
-
-    def tell_declarations(self, connection: HomeConnection) -> None:
-        """Send the newest declarations."""
-        row = self.declarations
-        if row is None or not self.may_vouch():
-            return
-        if connection.told_revision < row.revision:
-            connection.told_revision = row.revision
-            connection.send(
-                pack(0, Kind.DECLARATIONS, row.key, row.value, row.revision)
-            )
-
-    async def tell_alive(self, _now: float) -> None:
-        """Tell the followers that they miss nothing.
-
-        Args:
-          _now: The timer's time.
-        """
-        if not self.may_vouch():
-            return
-        for connection in self.connections:
-            if connection.follows:
-                # What changed while the store was out of reach here has not
-                # been told yet.
-                self.tell_declarations(connection)
-                connection.send(pack(0, Kind.ALIVE))
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
@@ -1,7 +1,7 @@
 """The side of a proxy that forwards to a home."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -9,12 +9,14 @@
 from jackdawcrank.relay.home_messages import (
     Fields,
     Kind,
+    decode_changes,
+    decode_image,
     decode_position,
     decode_reply,
     pack,
     unpack,
 )
-from jackdawcrank.seams.metadata_store import StoredRow
+from jackdawcrank.relay.table_follower import TableFollower
 from jackdawcrank.seams.replies import Reply
 from jackdawcrank_policy.homes import Member
 from jackdawcrank_policy.values.position import Position
@@ -54,29 +56,55 @@
     """A stream to one home.
 
     Attributes:
+      followers: What takes in the tables that it tells.
       leaving: Whether the home asked for no new work.
-      heard_at: When it last vouched for its declarations.
+      asked: The tables that it was asked to tell.
+      asked_at: When it was last asked for one more.
+      vouched_at: When it last vouched for each table.
     """
 
     def __init__(
         self,
-        on_declarations: Callable[[StoredRow], None],
+        followers: Mapping[str, TableFollower],
         notice_dead_peer: Callable[[asyncio.BaseTransport], None],
     ) -> None:
         super().__init__()
-        self.on_declarations = on_declarations
+        self.followers = followers
         self.notice_dead_peer = notice_dead_peer
         self.leaving = False
-        self.heard_at: float | None = None
+        self.asked: set[str] = set()
+        self.asked_at = 0.0
+        self.vouched_at: dict[str, float] = {}
         self.numbers = 0
         self.waiting: dict[int, asyncio.Future[HomeAnswer]] = {}
         self.loop = asyncio.get_running_loop()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Ask for declarations."""
+        """Keep the connection."""
         super().connection_made(transport)
         self.notice_dead_peer(transport)
-        self.send(pack(0, Kind.FOLLOW_DECLARATIONS))
+
+    def follow(self, tables: Iterable[str]) -> None:
+        """Ask to be told tables, unless that was asked before.
+
+        Args:
+          tables: The tables.
+        """
+        wanted = set(tables) - self.asked
+        if wanted:
+            self.asked |= wanted
+            self.asked_at = self.loop.time()
+            self.send(pack(0, Kind.FOLLOW, *sorted(wanted)))
+
+    def vouches(self, table: str, seconds: float) -> bool:
+        """Return whether it has vouched for a table lately.
+
+        Args:
+          table: The table.
+          seconds: How long ago it may have been.
+        """
+        oldest = self.loop.time() - seconds
+        return not self.closed and self.vouched_at.get(table, oldest) > oldest
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail what is waited for."""
@@ -92,17 +120,34 @@
             number, kind, fields = unpack(body)
             if kind is Kind.ANSWER:
                 self.answered(number, fields)
-            elif kind is Kind.DECLARATIONS:
-                self.heard_at = self.loop.time()
-                self.on_declarations(StoredRow(*fields))
+            elif kind is Kind.IMAGE:
+                table, image = fields
+                self.followers[table].take_image(decode_image(image))
+            elif kind is Kind.CHANGES:
+                self.changes_told(*fields)
             elif kind is Kind.ALIVE:
-                self.heard_at = self.loop.time()
+                self.vouched(*fields)
             elif kind is Kind.LEAVING:
                 self.leaving = True
-        except (ValueError, TypeError):
+        except (ValueError, TypeError, KeyError, AttributeError):
             # A peer of another version; its answers cannot be trusted.
             self.abort()
 
+    def changes_told(self, table: str, after: int, fields: Fields) -> None:
+        """Take in changes of a table."""
+        follower = self.followers[table]
+        known = follower.revision
+        if known is not None and after <= known:
+            follower.take_changes(decode_changes(fields))
+        else:
+            follower.must_read = True
+
+    def vouched(self, revisions: dict[str, int]) -> None:
+        """Take in up to which revision the home knows tables."""
+        for table, revision in revisions.items():
+            self.followers[table].take_revision(revision)
+            self.vouched_at[table] = self.loop.time()
+
     def answered(self, number: int, fields: Fields) -> None:
         """Hand an answer to whoever waits."""
         future = self.waiting.pop(number, None)
@@ -144,21 +189,21 @@
 
 async def open_stream(
     member: Member,
-    on_declarations: Callable[[StoredRow], None],
+    followers: Mapping[str, TableFollower],
     notice_dead_peer: Callable[[asyncio.BaseTransport], None],
 ) -> HomeStream | None:
     """Connect to a home; None if it cannot be reached.
 
     Args:
       member: The home.
-      on_declarations: Told of declarations.
+      followers: What takes in the tables that the home tells.
       notice_dead_peer: Sets the connection's options.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(CONNECT_SECONDS):
             _, stream = await loop.create_connection(
-                lambda: HomeStream(on_declarations, notice_dead_peer),
+                lambda: HomeStream(followers, notice_dead_peer),
                 member.host,
                 member.port,
             )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/lane_care.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/lane_care.py
@@ -40,6 +40,9 @@
             for lane in group.lanes.values():
                 lane.limit = group.connection_limit()
                 lane.gate.window.most = lane.limit
+                if not group.homes.is_home(group.group):
+                    # From the time when it took itself for a home.
+                    lane.drop_idle()
                 lane.trim(self.wanted(group, lane))
 
     def wanted(self, group: GroupRelay, lane: ServerLane) -> int:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/member_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/member_rows.py
@@ -2,14 +2,18 @@
 
 import json
 import random
+from collections.abc import Callable
 
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.seams.metadata_store import (
     MetadataStore,
+    RowChangedMeanwhile,
+    RowWritten,
     StoredRow,
     StoreFailure,
+    TableChanges,
     TableImage,
 )
 from jackdawcrank.timer.subscription import Subscription
@@ -17,26 +21,41 @@
 from jackdawcrank_policy.homes import Member
 
 MEMBERS_TABLE = "members"
-# Rows are read this long after the start, when VMs that started together have
-# written theirs.
-EARLY_READS_SECONDS = (1.5, 5.0)
-# Homes that are gone are noticed by their streams; this bounds how long a new
-# VM is not considered, at a call a VM.
-READ_SECONDS = 30.0
-READ_JITTER = 0.3
+# VMs that start together have written their rows by then.
+SETTLE_SECONDS = 1.5
 # A VM's row is renewed in this time; one that is three times as old belongs to
 # a VM that is gone.
 RENEW_SECONDS = 60.0
+RENEW_JITTER = 0.2
 STALE_SECONDS = 3 * RENEW_SECONDS
+# A row that could not be written is tried again, by some hundred VMs.
+RETRY_SECONDS = 3.0
+
+
+@attrs.frozen
+class WrittenMember:
+    """A VM's row.
+
+    Attributes:
+      member: The VM.
+      written_at: When it was written, in seconds on the store's clock.
+      revision: The store's version of the row.
+    """
+
+    member: Member
+    written_at: float
+    revision: int
 
 
 class MemberRows:
-    """Writes this VM's row and reads everybody's.
+    """Writes this VM's row and takes in everybody's.
 
     Attributes:
       own: This VM.
       members: All VMs with a fresh row, by name.
-      known: Whether the rows were read at least once.
+      known: Whether all rows of VMs that are up should be known.
+      written: The rows by VM, stale ones included.
+      store_seconds: Tells what the store's clock shows.
     """
 
     def __init__(
@@ -52,75 +71,140 @@
         self.rng = rng
         self.members: dict[str, Member] = {own.vm: own}
         self.known = False
+        self.image_seen = False
+        self.written: dict[str, WrittenMember] = {}
+        self.store_seconds: Callable[[], float] | None = None
+        self.timer: Timer | None = None
         self.subscriptions: list[Subscription] = []
 
     async def start(self, timer: Timer) -> None:
-        """Begin to read and to renew.
+        """Begin to renew the own row.
 
         Args:
           timer: Calls back.
         """
+        self.timer = timer
         self.subscriptions = [
-            timer.call_later(delay, self.read)
-            for delay in (0.0, *EARLY_READS_SECONDS)
-        ]
-        self.subscriptions.append(
+            timer.call_later(SETTLE_SECONDS, self.settled),
             timer.subscribe(
-                "members", READ_SECONDS, self.read, READ_JITTER, self.rng
-            )
-        )
+                "members", RENEW_SECONDS, self.renew, RENEW_JITTER, self.rng
+            ),
+        ]
 
     async def close(self) -> None:
-        """Stop reading."""
+        """Stop renewing."""
         for subscription in self.subscriptions:
             subscription.close()
 
-    async def read(self, _now: float) -> None:
-        """Read the rows, and renew the own one if it is due.
+    async def settled(self, _now: float) -> None:
+        """Take the rows that are known now for all of them."""
+        self.known = True
+
+    def image_read(self, image: TableImage) -> None:
+        """Take in the whole table, and write the own row if need be.
 
         Args:
-          _now: The timer's time.
+          image: Its rows.
         """
-        image = await self.store.read_table(MEMBERS_TABLE)
-        if isinstance(image, StoreFailure):
-            self.log.event("members_unread", detail=image.detail)
-            return
-        found: dict[str, Member] = {self.own.vm: self.own}
-        present: tuple[StoredRow, float] | None = None
+        self.image_seen = True
+        self.written = {}
         for row in image.rows:
-            read = self.decode(row)
-            if read is None:
-                continue
-            member, written_at = read
-            if member.vm == self.own.vm:
-                present = (row, written_at if member == self.own else 0.0)
-            elif image.store_seconds - written_at <= STALE_SECONDS:
-                found[member.vm] = member
-        if found != self.members or not self.known:
-            self.log.event("members_read", count=len(found))
-        self.members = found
-        self.known = True
-        await self.renew(image, present)
+            self.row_read(row)
+        oldest = image.store_seconds - SETTLE_SECONDS
+        others = [one for one in self.written if one != self.own.vm]
+        if any(self.written[one].written_at < oldest for one in others):
+            # VMs were here before this one: it is not all of them that start.
+            self.known = True
+        self.update()
+        present = self.written.get(self.own.vm)
+        if present is None or present.member != self.own:
+            self.write_soon(0.0)
 
-    async def renew(
-        self, image: TableImage, present: tuple[StoredRow, float] | None
-    ) -> None:
-        """Write the own row if it is missing, wrong or old."""
-        now = image.store_seconds
-        if present is not None and 0 <= now - present[1] < RENEW_SECONDS:
-            return
-        body = {**attrs.asdict(self.own), "written_at": now}
-        revision = present[0].revision if present else 0
-        await self.store.replace_row(
-            MEMBERS_TABLE, self.own.vm, json.dumps(body).encode(), revision
-        )
+    def changes_read(self, changes: TableChanges) -> None:
+        """Take in changes of the rows.
 
-    def decode(self, row: StoredRow) -> tuple[Member, float] | None:
-        """Return the VM in a row and when it was written, or None."""
+        Args:
+          changes: What was written and removed.
+        """
+        for key in changes.removed:
+            self.written.pop(key, None)
+        for row in changes.rows:
+            self.row_read(row)
+        self.update()
+
+    def row_read(self, row: StoredRow) -> None:
+        """Take in one row."""
         try:
             body = json.loads(row.value)
             written_at = float(body.pop("written_at"))
-            return Member(**body), written_at
+            member = Member(**body)
         except (TypeError, ValueError, KeyError, AttributeError) as error:
             self.log.event("member_unreadable", key=row.key, detail=repr(error))
-            return None
+            self.written.pop(row.key, None)
+            return
+        self.written[row.key] = WrittenMember(member, written_at, row.revision)
+
+    def update(self) -> None:
+        """Work out which VMs are there."""
+        oldest = self.now() - STALE_SECONDS
+        found = {
+            one.member.vm: one.member
+            for one in self.written.values()
+            if one.written_at >= oldest
+        }
+        found[self.own.vm] = self.own
+        if found != self.members:
+            self.log.event("members_read", count=len(found))
+            self.members = found
+
+    def now(self) -> float:
+        """Return about what the store's clock shows, in seconds."""
+        return self.store_seconds() if self.store_seconds else 0.0
+
+    def write_soon(self, delay_seconds: float) -> None:
+        """Write the own row."""
+        if self.timer is not None:
+            self.subscriptions.append(
+                self.timer.call_later(delay_seconds, self.write)
+            )
+
+    async def renew(self, now: float) -> None:
+        """Write the own row anew, and forget those that nobody renews.
+
+        Args:
+          now: The timer's time.
+        """
+        self.update()
+        await self.write(now)
+
+    async def write(self, _now: float) -> None:
+        """Write the own row.
+
+        Args:
+          _now: The timer's time.
+        """
+        if self.timer is None or not self.image_seen:
+            # Without the store's clock a row could be taken for a stale one.
+            return
+        body = {**attrs.asdict(self.own), "written_at": self.now()}
+        value = json.dumps(body).encode()
+        present = self.written.get(self.own.vm)
+        revision = present.revision if present else 0
+        written = await self.store.replace_row(
+            MEMBERS_TABLE, self.own.vm, value, revision
+        )
+        if isinstance(written, RowWritten):
+            self.row_read(StoredRow(self.own.vm, value, written.revision))
+            return
+        if isinstance(written, StoreFailure):
+            self.log.event("member_unwritten", detail=written.detail)
+        if isinstance(written, RowChangedMeanwhile):
+            await self.read_own()
+        self.write_soon(RETRY_SECONDS * self.rng.uniform(0.5, 1.5))
+
+    async def read_own(self) -> None:
+        """Read the own row, which somebody else has written."""
+        image = await self.store.read_table(MEMBERS_TABLE, self.own.vm)
+        if isinstance(image, TableImage):
+            for row in image.rows:
+                self.row_read(row)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -16,12 +16,18 @@
 from jackdawcrank.relay.idle_transactions import IdleTransactions
 from jackdawcrank.relay.lane_care import LaneCare
 from jackdawcrank.relay.leaving import Leaving
-from jackdawcrank.relay.member_rows import MemberRows
+from jackdawcrank.relay.member_rows import (
+    MEMBERS_TABLE,
+    SETTLE_SECONDS,
+    MemberRows,
+)
 from jackdawcrank.relay.relay_settings import RelaySettings
 from jackdawcrank.relay.statement_runner import StatementRunner
 from jackdawcrank.relay.store_contact import StoreContact
 from jackdawcrank.relay.succession_service import SuccessionService
 from jackdawcrank.relay.table_follower import TableFollower
+from jackdawcrank.relay.table_teller import TableTeller
+from jackdawcrank.relay.watch_contacts import WatchContacts
 from jackdawcrank.seams.caller_front import CallerFront
 from jackdawcrank.seams.declaration_source import DeclarationFormat
 from jackdawcrank.seams.lead_authority import LeadAuthority
@@ -37,6 +43,11 @@
 DECLARATIONS_WAIT_SHARE = 0.9
 # Leaving servers may be given work for 7 s or more.
 SERVERS_WAIT_SHARE = 0.75
+# The store keeps 20 s of changes on the users' sites.
+MEMBERS_WAIT_SECONDS = 15.0
+# VMs that start together have found each other by then; below the time in
+# which a started process must know a configuration (3 s and more).
+CONTACTS_SECONDS = 2.5
 
 
 class RelayProxy:
@@ -66,7 +77,8 @@
         self.front = front
         self.timer = TimerService()
         self.contact = StoreContact(log)
-        self.members = MemberRows(store, own_member(settings), log, rng)
+        own = own_member(settings)
+        self.members = MemberRows(store, own, log, rng)
         self.homes = Homes(self.members)
         self.directory = Directory(
             form,
@@ -76,9 +88,55 @@
             self.homes,
             log,
         )
+        self.followers = {
+            one.table: one
+            for one in (
+                TableFollower(
+                    store,
+                    form.declarations_table,
+                    settings.configuration_seconds * DECLARATIONS_WAIT_SHARE,
+                    CONTACTS_SECONDS,
+                    self.directory.declarations_read,
+                    self.directory.declarations_changed,
+                    self.contact,
+                    log,
+                    rng,
+                    lambda: True,
+                ),
+                TableFollower(
+                    store,
+                    form.servers_table,
+                    settings.drain_seconds * SERVERS_WAIT_SHARE,
+                    CONTACTS_SECONDS,
+                    self.directory.servers_read,
+                    self.directory.servers_changed,
+                    self.contact,
+                    log,
+                    rng,
+                    self.needs_servers,
+                ),
+                TableFollower(
+                    store,
+                    MEMBERS_TABLE,
+                    MEMBERS_WAIT_SECONDS,
+                    SETTLE_SECONDS,
+                    self.members.image_read,
+                    self.members.changes_read,
+                    self.contact,
+                    log,
+                    rng,
+                    lambda: True,
+                ),
+            )
+        }
+        self.members.store_seconds = self.followers[MEMBERS_TABLE].store_seconds
         runner = StatementRunner(self.directory, log)
         self.router = HomeRouter(
-            runner, self.homes, log, self.directory.declared, notice_dead_peer
+            runner, self.homes, log, self.followers, notice_dead_peer
+        )
+        self.teller = TableTeller(self.followers.values())
+        self.contacts = WatchContacts(
+            self.router, self.members, self.followers.values(), log
         )
         self.home_server = HomeServer(
             settings.host,
@@ -87,33 +145,8 @@
             self.directory,
             log,
             notice_dead_peer,
-            lambda: not self.contact.lost and self.must_follow_declarations(),
+            self.teller,
         )
-        self.directory.stored = self.home_server.declarations_stored
-        self.followers = [
-            TableFollower(
-                store,
-                form.declarations_table,
-                settings.configuration_seconds * DECLARATIONS_WAIT_SHARE,
-                self.directory.declarations_read,
-                self.directory.declarations_changed,
-                self.contact,
-                log,
-                rng,
-                self.must_follow_declarations,
-            ),
-            TableFollower(
-                store,
-                form.servers_table,
-                settings.drain_seconds * SERVERS_WAIT_SHARE,
-                self.directory.servers_read,
-                self.directory.servers_changed,
-                self.contact,
-                log,
-                rng,
-                self.must_follow_servers,
-            ),
-        ]
         # A restarted process must not take its predecessor's claim for its
         # own.
         process = f"{settings.vm}-{os.getpid()}-{rng.getrandbits(32):08x}"
@@ -141,13 +174,7 @@
             self.homes.is_home(group) for group in declarations.groups.values()
         )
 
-    def must_follow_declarations(self) -> bool:
-        """Return whether no home keeps the declarations here up to date."""
-        if self.directory.declarations is None or self.is_home():
-            return True
-        return not self.router.vouched()
-
-    def must_follow_servers(self) -> bool:
+    def needs_servers(self) -> bool:
         """Return whether statements may be run from here."""
         return self.home_server.wanted.is_set() or self.is_home()
 
@@ -157,9 +184,11 @@
         await self.timer.start()
         await self.log.start(self.timer)
         await self.members.start(self.timer)
-        for follower in self.followers:
+        for follower in self.followers.values():
             await follower.start()
-        await self.home_server.start(self.timer)
+        await self.home_server.start()
+        await self.teller.start(self.timer)
+        await self.contacts.start(self.timer)
         await self.front.start(self)
         await self.lane_care.start(self.timer)
         await self.idle_transactions.start(self.timer)
@@ -201,9 +230,11 @@
         await self.succession.close()
         await self.front.close()
         await self.members.close()
+        await self.contacts.close()
+        await self.teller.close()
         await self.router.close()
         await self.home_server.close()
-        for follower in self.followers:
+        for follower in self.followers.values():
             await follower.close()
         await self.directory.close()
         self.log.event("stopped")
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/row_tables.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/row_tables.py
@@ -104,6 +104,10 @@
     async def trouble(self, path: str) -> web.Response | None:
         """Count a call; return the answer of a store in trouble."""
         self.calls[path] = self.calls.get(path, 0) + 1
+        return await self.present_trouble()
+
+    async def present_trouble(self) -> web.Response | None:
+        """Return the answer of a store in trouble, or None."""
         await self.audible.wait()
         return web.Response(status=503) if self.down else None
 
@@ -134,8 +138,8 @@
         table = request.query["table"]
         after = int(request.query["after"])
         deadline = time.monotonic() + int(request.query["waitMs"]) / 1000
+        trouble = await self.trouble("/rows-feed")
         while True:
-            trouble = await self.trouble("/rows-feed")
             if trouble is not None:
                 return trouble
             if after < self.forgotten:
@@ -151,7 +155,8 @@
             try:
                 await asyncio.wait_for(self.changed.wait(), min(left, 0.05))
             except TimeoutError:
-                continue
+                pass
+            trouble = await self.present_trouble()
 
     async def rows_tx(self, request: web.Request) -> web.Response:
         """Apply a transaction or none of it."""
