--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/server_lane.py
@@ -353,11 +353,13 @@
                 waiting.set_result(outcome)
 
     def trim(self, keep: int) -> None:
-        """Close connections that nobody has used for a while.
+        """Close connections beyond the limit or unused for a while.
 
         Args:
           keep: How many to keep all the same.
         """
+        while self.idle and self.count > self.limit:
+            self.discard(self.take(0))
         oldest = self.loop.time() - IDLE_SECONDS
         while len(self.idle) > keep and self.idle[0].since < oldest:
             self.discard(self.take(0))
--- a/packages/jackdawcrank-proxy/tests/relay/test_server_lane.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_server_lane.py
@@ -99,3 +99,18 @@
     short = WaitLimits(1, now + 0.01, now + 0.01)
     assert await lane.acquire(SessionMemory(), short) == Hopeless()
     assert lane.line.length == 0
+
+
+async def test_idle_connections_beyond_a_smaller_limit_are_closed(
+    lane: ServerLane, opener: FakeOpener
+) -> None:
+    asking = [ask(lane) for _ in range(2)]
+    await settle()
+    for _ in range(2):
+        await opener.let_one_open()
+    assert await asyncio.gather(*asking) == opener.opened
+    for link in opener.opened:
+        lane.release(link)
+    lane.limit = 1
+    lane.trim(keep=1)
+    assert (lane.count, len(lane.idle)) == (1, 1)
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/row_tables.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/row_tables.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 
@@ -152,10 +153,8 @@
             left = deadline - time.monotonic()
             if found or left <= 0:
                 return self.answer(found)
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), min(left, 0.05))
-            except TimeoutError:
-                pass
             trouble = await self.present_trouble()
 
     async def rows_tx(self, request: web.Request) -> web.Response:
