--- a/packages/jackdawcrank-policy/tests/waiting/test_patience.py
+++ b/packages/jackdawcrank-policy/tests/waiting/test_patience.py
@@ -116,3 +116,9 @@
 def test_burst_is_still_served_whole() -> None:
     arrivals = arrivals_at((1.0, 10.0), (0.2, 100.0), (2.0, 10.0))
     assert play(arrivals, patient=True).served == 1.0
+
+
+def test_line_that_nobody_comes_to_is_not_busy() -> None:
+    patience = Patience()
+    patience.give_up_at(10.0, 1, WaitLimits(1, 11.0, 10.25))
+    assert patience.busy_for(20.0) == 0.0
