Mend a close that hangs and an idle queue that counts as busy

Cause: asyncio.wait_for of Python 3.11 returns its result where a cancellation arrives at the same moment, so a task that was cancelled once goes on. The maintenance task of ServerPool lost its cancellation in the driver's connect, and close waited for it forever. The overload detector of a queue counted time since the last arrival as busy, though every statement had left. Change: tasks.cancel_and_wait cancels until a task has ended; every close that cancelled and waited uses it. The detector forgets an overload once the last statement's deadline has passed, and a pool reports an empty queue as not busy.

--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/overload_detector.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/overload_detector.py
@@ -42,9 +42,12 @@
     Attributes:
       nonempty_since: Since when arriving statements have found the queue
         non-empty, in seconds; None if the latest one found it empty.
+      last_deadline: When the last of these statements has left the queue at
+        the latest, in seconds on the same clock.
     """
 
     nonempty_since: float | None = None
+    last_deadline: float = 0.0
 
     def wait_deadline(
         self, now: float, waiting: int, limits: WaitLimits
@@ -58,15 +61,18 @@
           waiting: Number of statements that are already waiting.
           limits: The wait limits of the arriving statement.
         """
-        if not waiting:
-            self.nonempty_since = None
+        if not waiting or now > self.last_deadline:
+            self.nonempty_since = now if waiting else None
+            self.last_deadline = 0.0
         elif self.nonempty_since is None:
             self.nonempty_since = now
-        return (
+        deadline = (
             limits.overload_deadline
             if self.is_overloaded(now)
             else limits.deadline
         )
+        self.last_deadline = max(self.last_deadline, deadline)
+        return deadline
 
     def is_overloaded(self, now: float) -> bool:
         """Return whether the queue has been non-empty for too long.
@@ -79,7 +85,11 @@
     def nonempty_seconds(self, now: float) -> float:
         """Return how long arrivals have found the queue non-empty, in seconds.
 
+        This is 0 once every statement that has arrived must have left.
+
         Args:
           now: The current time in seconds.
         """
-        return 0.0 if self.nonempty_since is None else now - self.nonempty_since
+        if self.nonempty_since is None or now > self.last_deadline:
+            return 0.0
+        return now - self.nonempty_since
--- a/packages/jackdawcrank-policy/tests/waiting/test_overload_detector.py
+++ b/packages/jackdawcrank-policy/tests/waiting/test_overload_detector.py
@@ -128,3 +128,12 @@
     detector = OverloadDetector()
     detector.wait_deadline(10.0, 1, WaitLimits(1, 11.0, 10.25))
     assert detector.nonempty_seconds(20.0) == 0.0
+
+
+def test_overload_lasts_while_statements_may_still_wait() -> None:
+    detector = OverloadDetector()
+    detector.wait_deadline(10.0, 1, WaitLimits(1, 11.0, 10.25))
+    detector.wait_deadline(10.6, 4, WaitLimits(1, 11.6, 10.85))
+    assert detector.nonempty_seconds(10.95) > 0.5
+    assert detector.nonempty_seconds(11.5) == 0.0
+    assert detector.wait_deadline(11.5, 1, WaitLimits(1, 12.5, 11.75)) == 12.5
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
@@ -13,6 +13,7 @@
     ConnectFailed,
     ServerConnection,
 )
+from jackdawcrank.tasks import cancel_and_wait
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 RESET_TIMEOUT_SECONDS = 1.0
@@ -88,12 +89,10 @@
     async def close(self) -> None:
         """Close all idle connections and stop the background tasks."""
         self.draining = True
+        tasks = {*self.tasks}
         if self.maintenance_task is not None:
-            self.maintenance_task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self.maintenance_task
-        for task in tuple(self.tasks):
-            task.cancel()
+            tasks.add(self.maintenance_task)
+        await cancel_and_wait(tasks)
         self._close_idle()
         self._wake_all()
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/front_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/front_server.py
@@ -16,6 +16,7 @@
 from jackdawcrank.front.packets import error_packet, frame_packet
 from jackdawcrank.front.statement_router import StatementRouter
 from jackdawcrank.results.errors import not_run
+from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank_wire.settings import CallerLogin
 
 PACKET_TIMEOUT_SECONDS = 10.0
@@ -68,10 +69,7 @@
     async def close(self) -> None:
         """Close all connections immediately."""
         self._stop_listening()
-        tasks = list(self.connections.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_and_wait(self.connections.values())
 
     async def drain(self, timeout_seconds: float) -> int:
         """Close each connection after its current statement or transaction.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/background_tasks.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/background_tasks.py
@@ -6,6 +6,8 @@
 
 from absl import logging
 
+from jackdawcrank.tasks import cancel_and_wait
+
 
 class BackgroundTasks:
     """Owns background tasks and cancels the unfinished ones on close."""
@@ -38,7 +40,4 @@
     async def close(self) -> None:
         """Cancel the running tasks and wait until they have ended."""
         self.closed = True
-        left = tuple(self.tasks)
-        for task in left:
-            task.cancel()
-        await asyncio.gather(*left, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/groups/server_probe.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/groups/server_probe.py
@@ -5,6 +5,7 @@
 
 from jackdawcrank.backend.server_control import ServerControl, Unreachable
 from jackdawcrank.groups.probe_result import ProbeResult
+from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank.timer import Subscription, Timer
 from jackdawcrank_policy.detection import (
     PROBE_TIMEOUT_SECONDS,
@@ -58,8 +59,7 @@
         """Stop probing and cancel a running probe."""
         self.stop()
         if self.running is not None:
-            self.running.cancel()
-            await asyncio.gather(self.running, return_exceptions=True)
+            await cancel_and_wait([self.running])
 
     def set_interval(self, interval_seconds: float) -> None:
         """Change the interval; a shorter one also brings a probe forward.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/peers/incoming_requests.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/incoming_requests.py
@@ -17,6 +17,7 @@
 from jackdawcrank.peers.request_types import Request, RequestAnswer, is_request
 from jackdawcrank.peers.split_rows import CHUNK_BYTES, row_size
 from jackdawcrank.peers.streamed_result import StreamedResult
+from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank_wire.codec.envelope import MESSAGE_NUMBERS
 from jackdawcrank_wire.messages import (
     Answer,
@@ -224,10 +225,7 @@
 
     async def close(self) -> None:
         """Cancel all handlers and wait until they have ended."""
-        tasks = [*self.by_number.values(), *self.notifications]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_and_wait([*self.by_number.values(), *self.notifications])
 
 
 def is_large(answer: PeerAnswer) -> typing.TypeGuard[Answer]:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/peers/peer_server.py
@@ -7,6 +7,7 @@
 from jackdawcrank.peers.handshake import HandshakeFailed
 from jackdawcrank.peers.peer_handlers import PeerHandlers
 from jackdawcrank.peers.peer_stream_pool import PeerStreamPool
+from jackdawcrank.tasks import cancel_and_wait
 
 MAX_HANDSHAKES = 128
 
@@ -95,9 +96,7 @@
         """Close the port, and the pool unless it was passed in."""
         if self.server:
             self.server.close()
-        for task in list(self.handshakes):
-            task.cancel()
-        await asyncio.gather(*self.handshakes, return_exceptions=True)
+        await cancel_and_wait(self.handshakes)
         if self.owns_peer_pool:
             await self.peer_pool.close()
         if self.server:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/home_registry.py
@@ -8,6 +8,7 @@
 from jackdawcrank.execution.signal import Signal
 from jackdawcrank.groups import GroupAgent, GroupPeers, GroupStore
 from jackdawcrank.process.home import Home
+from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank.timeline import Timeline
 from jackdawcrank.timer import Timer
 from jackdawcrank_policy.budget import writer_names
@@ -77,9 +78,7 @@
 
     async def close(self) -> None:
         """Close every home."""
-        for task in tuple(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
         for home in self.homes.values():
             await home.agent.close()
             await home.group.close()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/process/proxy.py
@@ -24,6 +24,7 @@
 from jackdawcrank.process.peer_service import PeerService
 from jackdawcrank.store import ChangeLog, StoreClient
 from jackdawcrank.store.group_rows import GroupRows
+from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank.timeline import Timeline
 from jackdawcrank.timer import TimerService
 from jackdawcrank_policy.configuration import Change, Configuration
@@ -151,9 +152,8 @@
 
     async def close(self) -> None:
         """Stop immediately, without a graceful shutdown."""
-        if self.draining is not None and not self.draining.done():
-            self.draining.cancel()
-            await asyncio.gather(self.draining, return_exceptions=True)
+        if self.draining is not None:
+            await cancel_and_wait([self.draining])
         await self._close_components()
 
     async def _drain(self) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
@@ -226,9 +226,13 @@
     def queue_nonempty_seconds(self) -> float:
         """Return for how long a queue has been non-empty, in seconds."""
         now = self.loop.time()
+        queues = (
+            (self.queue, self.overload_detector),
+            (self.limiter.queue, self.limiter.overload_detector),
+        )
         return max(
-            self.overload_detector.nonempty_seconds(now),
-            self.limiter.overload_detector.nonempty_seconds(now),
+            detector.nonempty_seconds(now) if queue.length else 0.0
+            for queue, detector in queues
         )
 
     def has_spare_connection(self) -> bool:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -22,6 +22,7 @@
     PromotionService,
 )
 from jackdawcrank.seams.replies import ServerStatus
+from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank_policy.succession import (
     MIN_LAG_SECONDS,
     Claim,
@@ -142,9 +143,7 @@
 
     async def close(self) -> None:
         """Cancel all tasks; a claim in force expires by itself."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
 
     def reason(self) -> str | None:
         """Return why the primary must be replaced, or None if it need not."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -15,6 +15,7 @@
     TableChanges,
     TableSnapshot,
 )
+from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank_policy.retry.backoff import backoff_seconds
 
 # A recovered store must be noticed well within the time limit for applying a
@@ -120,8 +121,7 @@
     async def close(self) -> None:
         """Stop following the table."""
         if self.task:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+            await cancel_and_wait([self.task])
 
     def active(self) -> bool:
         """Return whether this process follows the table in the store."""
--- a/packages/jackdawcrank-proxy/tests/backend/test_server_pool.py
+++ b/packages/jackdawcrank-proxy/tests/backend/test_server_pool.py
@@ -1,19 +1,25 @@
 """Tests of the connection pool of one backend server."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Callable
 
 import pytest
 
 from jackdawcrank.backend import server_pool
 from jackdawcrank.backend.endpoint import Endpoint
-from jackdawcrank.backend.server_connection import ServerConnection
+from jackdawcrank.backend.server_connection import (
+    ConnectFailed,
+    ServerConnection,
+)
 from jackdawcrank.backend.server_pool import ServerPool
 from jackdawcrank_standins.backend import BackendServer
 
 WARM = 5
 POLL_INTERVAL_SECONDS = 0.01
 MAX_POLLS = 300
+# Far above what closing takes.
+CLOSE_TIMEOUT_SECONDS = 5.0
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
@@ -133,3 +139,28 @@
     assert dropped == ["lost"]
     pool.release(second)
     await pool.close()
+
+
+async def test_close_ends_maintenance_that_lost_its_cancellation(
+    endpoint: Endpoint, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    opening = asyncio.Event()
+
+    async def lose_cancellation(
+        endpoint: Endpoint, timeout_seconds: float
+    ) -> ConnectFailed:
+        # As asyncio.wait_for does if its result arrives at the same time.
+        opening.set()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(2 * CLOSE_TIMEOUT_SECONDS)
+        return ConnectFailed(False, "no answer")
+
+    monkeypatch.setattr(ServerConnection, "open", lose_cancellation)
+    pool = ServerPool(endpoint, WARM, WARM)
+    pool.start()
+    await opening.wait()
+    async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS) as timeout:
+        await pool.close()
+    # The timeout ends a wait that ignored its cancellation without an error.
+    assert not timeout.expired()
+    assert pool.maintenance_task is not None and pool.maintenance_task.done()
--- a/packages/jackdawcrank-proxy/tests/relay/test_connection_pool.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_connection_pool.py
@@ -116,3 +116,19 @@
     pool.limit = 1
     pool.trim(keep=1)
     assert (pool.count, len(pool.idle)) == (1, 1)
+
+
+async def test_drained_queue_is_not_busy(
+    pool: ConnectionPool, opener: FakeOpener
+) -> None:
+    pool.limiter.in_flight_count = 2
+    waiting = [asyncio.create_task(pool.limiter.enter(limits())) for _ in "ab"]
+    await run_ready_tasks()
+    pool.limiter.overload_detector.nonempty_since = (
+        asyncio.get_running_loop().time() - 1.0
+    )
+    assert pool.queue_nonempty_seconds() >= 1.0
+    for _ in waiting:
+        pool.limiter.leave(0.01)
+    await asyncio.gather(*waiting)
+    assert pool.queue_nonempty_seconds() == 0.0
