Trust a follower of the store only while its answers are recent

Change: a heartbeat carries the age of the store's last answer, and a VM relies on it for 0.8 of the table's time limit; a wait for changes ends after 0.7 of it and its answer is passed on at once; the first call after an idle time does not wait.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.frame_protocol import FrameProtocol
 from jackdawcrank.relay.home_messages import (
     Fields,
@@ -64,6 +65,8 @@
       subscribed: The tables to which this proxy is subscribed.
       subscribed_at: When the last subscription was sent.
       heartbeat_at: When the last heartbeat for each table was received.
+      store_answered_at: When the store last answered the home's follower of
+        each table, in seconds since boot.
       last_number: The number of the last request.
       pending: The unanswered requests, by number.
     """
@@ -80,6 +83,7 @@
         self.subscribed: set[str] = set()
         self.subscribed_at = 0.0
         self.heartbeat_at: dict[str, float] = {}
+        self.store_answered_at: dict[str, float] = {}
         self.last_number = 0
         self.pending: dict[int, asyncio.Future[HomeAnswer]] = {}
         self.loop = asyncio.get_running_loop()
@@ -101,15 +105,21 @@
             self.subscribed_at = self.loop.time()
             self.send(pack(0, Kind.FOLLOW, *sorted(new_tables)))
 
-    def has_recent_heartbeat(self, table: str, seconds: float) -> bool:
-        """Return whether the home recently sent a heartbeat for a table.
+    def relays_changes(self, table: str, heartbeat_seconds: float) -> bool:
+        """Return whether the home is known to relay all changes of a table.
 
         Args:
           table: The name of the table.
-          seconds: The maximum age of the heartbeat.
+          heartbeat_seconds: The maximum age of the last heartbeat.
         """
-        oldest = self.loop.time() - seconds
-        return not self.closed and self.heartbeat_at.get(table, oldest) > oldest
+        answered_at = self.store_answered_at.get(table)
+        if self.closed or answered_at is None:
+            return False
+        trust_seconds = self.followers[table].trust_seconds
+        return (
+            self.loop.time() - self.heartbeat_at[table] < heartbeat_seconds
+            and boot_seconds() - answered_at <= trust_seconds
+        )
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the pending requests."""
@@ -156,15 +166,17 @@
         else:
             follower.must_read = True
 
-    def record_heartbeat(self, revisions: dict[str, int]) -> None:
+    def record_heartbeat(self, followed: dict[str, tuple[int, float]]) -> None:
         """Record a heartbeat of the home.
 
         Args:
-          revisions: The revision that the home knows, by table.
+          followed: The revision that the home knows and the seconds since the
+            store's last answer, by table.
         """
-        for table, revision in revisions.items():
+        for table, (revision, answer_age) in followed.items():
             self.followers[table].advance_revision(revision)
             self.heartbeat_at[table] = self.loop.time()
+            self.store_answered_at[table] = boot_seconds() - answer_age
 
     def resolve_reply(self, number: int, fields: Fields) -> None:
         """Complete the pending request with the home's answer."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -38,19 +38,20 @@
 
 # Callers time out on connecting after 2 s.
 FIRST_CONFIGURATION_TIMEOUT_SECONDS = 1.8
-# Share of the time in which a configuration must be in force (3 s or more).
-# A wait for declarations ends within it, so that a dead connection is noticed
-# in time.
-DECLARATIONS_WAIT_SHARE = 0.9
-# Share of the time in which a draining server may still receive statements
-# (7 s or more). A wait for server rows ends within it.
-SERVERS_WAIT_SHARE = 0.75
-# Shorter than the 20 s of changes that the store keeps on users' sites.
-MEMBERS_WAIT_SECONDS = 15.0
+# Share of a table's time limit (3 s or more) after which an answer of the store
+# no longer proves that the table is current. The rest is for reading changes
+# over a new connection.
+TRUST_SHARE = 0.8
+# Share of a table's time limit after which a wait for changes is renewed, so
+# that other VMs hear of the new answer while they still trust the last one.
+WAIT_SHARE = 0.7
+# Time limit for changes of the members, which no rule bounds. Shorter than the
+# 20 s of changes that the store keeps on users' sites.
+MEMBERS_LIMIT_SECONDS = 19.0
 # VMs that start together have discovered each other by then. It is shorter
-# than the time in which a started process must know a configuration (3 s or
+# than the time for which the first read proves a table current (2.4 s or
 # more).
-STARTUP_SETTLE_SECONDS = 2.5
+STARTUP_SETTLE_SECONDS = 2.0
 
 
 class RelayProxy:
@@ -111,7 +112,8 @@
                 TableFollower(
                     store,
                     declaration_decoder.declarations_table,
-                    settings.configuration_seconds * DECLARATIONS_WAIT_SHARE,
+                    settings.configuration_seconds * WAIT_SHARE,
+                    settings.configuration_seconds * TRUST_SHARE,
                     STARTUP_SETTLE_SECONDS,
                     self.directory.apply_declarations_image,
                     self.directory.apply_declarations_changes,
@@ -123,7 +125,8 @@
                 TableFollower(
                     store,
                     declaration_decoder.servers_table,
-                    settings.drain_seconds * SERVERS_WAIT_SHARE,
+                    settings.drain_seconds * WAIT_SHARE,
+                    settings.drain_seconds * TRUST_SHARE,
                     STARTUP_SETTLE_SECONDS,
                     self.directory.apply_servers_image,
                     self.directory.apply_servers_changes,
@@ -135,7 +138,8 @@
                 TableFollower(
                     store,
                     MEMBERS_TABLE,
-                    MEMBERS_WAIT_SECONDS,
+                    MEMBERS_LIMIT_SECONDS * WAIT_SHARE,
+                    MEMBERS_LIMIT_SECONDS * TRUST_SHARE,
                     DISCOVERY_SECONDS,
                     self.members.apply_image,
                     self.members.apply_changes,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import typing
 from collections.abc import Callable
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.store_health import StoreHealth
 from jackdawcrank.seams.metadata_store import (
     HistoryTrimmed,
@@ -32,7 +34,14 @@
 
 
 class TableObserver(typing.Protocol):
-    """Observes the images and changes that a follower applies."""
+    """Observes the answers, images and changes of a follower."""
+
+    def store_answered(self, follower: "TableFollower") -> None:
+        """Handle an answer of the store, which proves the table current.
+
+        Args:
+          follower: The follower.
+        """
 
     def image_applied(self, follower: "TableFollower") -> None:
         """Handle a new image of a table.
@@ -62,6 +71,8 @@
     Attributes:
       table: The table's name.
       wait_seconds: The longest wait of one call for changes.
+      trust_seconds: How long an answer of the store proves that no changes
+        were missed. It must exceed `wait_seconds` by a round trip.
       discovery_seconds: How long after the start this process looks for
         upstream VMs before it follows the store.
       rows: The table's rows by key.
@@ -79,6 +90,8 @@
       on_applied: Called after each new image or change is applied.
       need_may_differ: Set when `needed` may return another value.
       failures: The number of failed calls in a row.
+      answered_at: When the store last answered, in seconds since boot; None
+        before its first answer.
     """
 
     def __init__(
@@ -86,6 +99,7 @@
         store: MetadataStore,
         table: str,
         wait_seconds: float,
+        trust_seconds: float,
         discovery_seconds: float,
         on_image: Callable[[TableSnapshot], None],
         on_changes: Callable[[TableChanges], None],
@@ -98,6 +112,7 @@
         self.store = store
         self.table = table
         self.wait_seconds = wait_seconds
+        self.trust_seconds = trust_seconds
         self.discovery_seconds = discovery_seconds
         self.on_image = on_image
         self.on_changes = on_changes
@@ -115,6 +130,7 @@
         self.store_offset = 0.0
         self.discovery_ends_at = 0.0
         self.failures = 0
+        self.answered_at: float | None = None
         self.loop = asyncio.get_running_loop()
         self.task: asyncio.Task[None] | None = None
 
@@ -134,8 +150,15 @@
             self.revision is not None
             and not self.store_health.lost
             and not self.idle()
+            and self.answer_age() <= self.trust_seconds
         )
 
+    def answer_age(self) -> float:
+        """Return the seconds since the store's last answer."""
+        if self.answered_at is None:
+            return math.inf
+        return boot_seconds() - self.answered_at
+
     def idle(self) -> bool:
         """Return whether the store need not be followed."""
         if not self.needed():
@@ -144,8 +167,10 @@
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
+        has_waited = False
         while True:
             if self.idle():
+                has_waited = True
                 if self.has_upstreams(self.table):
                     # Upstream VMs send heartbeats only while they reach the
                     # store.
@@ -155,9 +180,15 @@
                 await self.read()
             elif self.loop.time() < self.discovery_ends_at:
                 # Upstream VMs that follow the store may still be found.
+                has_waited = True
                 await asyncio.sleep(IDLE_POLL_SECONDS)
             else:
-                await self.follow(self.revision)
+                # Changes may have been missed and the connection may have died
+                # since the last call; both must be noticed at once.
+                await self.follow(
+                    self.revision, 0.0 if has_waited else self.wait_seconds
+                )
+                has_waited = False
 
     async def wait_while_idle(self) -> None:
         """Wait for one polling interval, or until the need may differ."""
@@ -175,15 +206,14 @@
         self.answered()
         self.apply_image(image)
 
-    async def follow(self, revision: int) -> None:
+    async def follow(self, revision: int, wait_seconds: float) -> None:
         """Wait for the next changes and apply them.
 
         Args:
           revision: The revision up to which changes are known.
+          wait_seconds: The longest wait for a change.
         """
-        changes = await self.store.follow(
-            self.table, revision, self.wait_seconds
-        )
+        changes = await self.store.follow(self.table, revision, wait_seconds)
         if isinstance(changes, StoreFailure):
             await self.failed(changes)
             return
@@ -193,6 +223,8 @@
             self.must_read = True
             return
         self.apply_changes(changes)
+        if self.observer is not None:
+            self.observer.store_answered(self)
         if changes.rows or changes.removed:
             await asyncio.sleep(COALESCE_SECONDS)
 
@@ -264,6 +296,7 @@
         """Record an answer of the store."""
         self.store_health.record_success()
         self.failures = 0
+        self.answered_at = boot_seconds()
 
     async def failed(self, failure: StoreFailure) -> None:
         """Record a failure and wait before the next attempt."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_publisher.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_publisher.py
@@ -97,6 +97,16 @@
                 pack(0, Kind.IMAGE, follower.table, encode_image(image))
             )
 
+    def store_answered(self, follower: TableFollower) -> None:
+        """Send a heartbeat, so that subscribers go on relying on this process.
+
+        Args:
+          follower: Holds the table's rows.
+        """
+        for subscriber, tables in self.subscribers.items():
+            if follower.table in tables:
+                self.send_heartbeat(subscriber, {follower.table})
+
     def image_applied(self, follower: TableFollower) -> None:
         """Send a new image of a table to its subscribers.
 
@@ -134,11 +144,11 @@
             self.send_heartbeat(subscriber, tables)
 
     def send_heartbeat(self, subscriber: Subscriber, tables: set[str]) -> None:
-        """Send the revisions of those tables that are followed here."""
-        revisions = {
-            table: self.followers[table].revision
+        """Send what is known of those tables that are followed here."""
+        followed = {
+            table: (follower.revision, follower.answer_age())
             for table in tables
-            if self.followers[table].active()
+            if (follower := self.followers[table]).active()
         }
-        if revisions:
-            subscriber.send(pack(0, Kind.ALIVE, revisions))
+        if followed:
+            subscriber.send(pack(0, Kind.ALIVE, followed))
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/upstream_selector.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/upstream_selector.py
@@ -95,7 +95,7 @@
         live_streams = [
             one
             for one in self.streams()
-            if one.has_recent_heartbeat(table, HEARTBEAT_TIMEOUT_SECONDS)
+            if one.relays_changes(table, HEARTBEAT_TIMEOUT_SECONDS)
         ]
         return len(live_streams) >= MIN_UPSTREAMS
 
@@ -123,7 +123,7 @@
         if now - stream.subscribed_at < SUBSCRIBE_TIMEOUT_SECONDS:
             return True
         return all(
-            stream.has_recent_heartbeat(one, HEARTBEAT_TIMEOUT_SECONDS)
+            stream.relays_changes(one, HEARTBEAT_TIMEOUT_SECONDS)
             for one in tables
         )
 
--- a/packages/jackdawcrank-proxy/tests/relay/conftest.py
+++ b/packages/jackdawcrank-proxy/tests/relay/conftest.py
@@ -1,14 +1,23 @@
 """Fake server connections whose replies are set by the tests."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+import random
+from collections.abc import AsyncIterator, Callable, Sequence
 
 import attrs
 import pytest
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.connection_pool import ConnectionPool
+from jackdawcrank.relay.store_health import StoreHealth
+from jackdawcrank.relay.table_follower import TableFollower
 from jackdawcrank.seams.commands import Command
+from jackdawcrank.seams.metadata_store import (
+    HistoryTrimmed,
+    StoreFailure,
+    TableChanges,
+    TableSnapshot,
+)
 from jackdawcrank.seams.replies import Reply, ServerStatus, SessionState
 from jackdawcrank.seams.server_connection import NotOpened
 from jackdawcrank_policy.catalog import ListedServer
@@ -97,3 +106,55 @@
         "s1", "plots", "127.0.0.1", 1, "north-a", 3, False, True, 0, 1
     )
     return ConnectionPool(server, opener, 8, 2.0, log, lambda: None)
+
+
+@attrs.define
+class FakeStore:
+    """A store whose answers the test sets; other calls wait forever."""
+
+    image: TableSnapshot | StoreFailure = TableSnapshot((), 5, 100.0)
+    answers: asyncio.Queue[TableChanges | HistoryTrimmed | StoreFailure] = (
+        attrs.Factory(asyncio.Queue)
+    )
+    reads: int = 0
+    followed_revisions: list[int] = attrs.Factory(list)
+    waits: list[float] = attrs.Factory(list)
+
+    async def read_table(
+        self, table: str, key: str | None = None
+    ) -> TableSnapshot | StoreFailure:
+        self.reads += 1
+        return self.image
+
+    async def follow(
+        self, table: str, after: int, wait_seconds: float
+    ) -> TableChanges | HistoryTrimmed | StoreFailure:
+        self.followed_revisions.append(after)
+        self.waits.append(wait_seconds)
+        return await self.answers.get()
+
+
+@pytest.fixture
+def store() -> FakeStore:
+    return FakeStore()
+
+
+@pytest.fixture
+async def follower(
+    store: FakeStore, log: DecisionLog
+) -> AsyncIterator[TableFollower]:
+    one = TableFollower(
+        store,
+        "op",
+        1.0,
+        1.5,
+        0.0,
+        lambda _image: None,
+        lambda _changes: None,
+        StoreHealth(log),
+        log,
+        random.Random(1),
+        lambda: True,
+    )
+    yield one
+    await one.close()
--- a/packages/jackdawcrank-proxy/tests/relay/test_table_follower.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_table_follower.py
@@ -1,47 +1,15 @@
-import asyncio
-import random
-from collections.abc import AsyncIterator
-
 import attrs
-import pytest
 
-from jackdawcrank.decisions import DecisionLog
-from jackdawcrank.relay.store_health import StoreHealth
 from jackdawcrank.relay.table_follower import TableFollower
 from jackdawcrank.relay.table_publisher import TablePublisher
 from jackdawcrank.seams.metadata_store import (
     HistoryTrimmed,
     StoredRow,
-    StoreFailure,
     TableChanges,
     TableSnapshot,
 )
 
-from .conftest import run_ready_tasks
-
-
-@attrs.define
-class FakeStore:
-    """A store whose answers the test sets; other calls wait forever."""
-
-    image: TableSnapshot | StoreFailure = TableSnapshot((), 5, 100.0)
-    answers: asyncio.Queue[TableChanges | HistoryTrimmed | StoreFailure] = (
-        attrs.Factory(asyncio.Queue)
-    )
-    reads: int = 0
-    followed_revisions: list[int] = attrs.Factory(list)
-
-    async def read_table(
-        self, table: str, key: str | None = None
-    ) -> TableSnapshot | StoreFailure:
-        self.reads += 1
-        return self.image
-
-    async def follow(
-        self, table: str, after: int, wait_seconds: float
-    ) -> TableChanges | HistoryTrimmed | StoreFailure:
-        self.followed_revisions.append(after)
-        return await self.answers.get()
+from .conftest import FakeStore, run_ready_tasks
 
 
 @attrs.define(eq=False)
@@ -56,31 +24,6 @@
     return StoredRow(key, b"v", revision)
 
 
-@pytest.fixture
-def store() -> FakeStore:
-    return FakeStore()
-
-
-@pytest.fixture
-async def follower(
-    store: FakeStore, log: DecisionLog
-) -> AsyncIterator[TableFollower]:
-    one = TableFollower(
-        store,
-        "op",
-        1.0,
-        0.0,
-        lambda _image: None,
-        lambda _changes: None,
-        StoreHealth(log),
-        log,
-        random.Random(1),
-        lambda: True,
-    )
-    yield one
-    await one.close()
-
-
 async def test_changes_follow_the_image(
     follower: TableFollower, store: FakeStore
 ) -> None:
@@ -143,6 +86,7 @@
     early, late = FakeSubscriber(), FakeSubscriber()
     publisher.subscribe(early, ["op", "nonsense"])
     assert early.sent == []
+    follower.answered()
     follower.apply_image(TableSnapshot((row("a", 3),), 5, 100.0))
     follower.apply_changes(TableChanges((row("b", 7),), (), 7))
     publisher.subscribe(late, ["op"])
@@ -158,6 +102,7 @@
     follower: TableFollower,
 ) -> None:
     publisher, subscriber = TablePublisher([follower]), FakeSubscriber()
+    follower.answered()
     follower.apply_image(TableSnapshot((), 5, 100.0))
     follower.has_upstreams = lambda _table: True
     publisher.subscribe(subscriber, ["op"])
@@ -180,3 +125,47 @@
     follower.need_may_differ.set()
     await run_ready_tasks()
     assert store.reads == 1
+
+
+async def test_heartbeats_end_while_the_store_is_silent(
+    follower: TableFollower,
+) -> None:
+    publisher, subscriber = TablePublisher([follower]), FakeSubscriber()
+    follower.answered()
+    follower.apply_image(TableSnapshot((), 5, 100.0))
+    publisher.subscribe(subscriber, ["op"])
+    assert len(subscriber.sent) == 2
+    # The wait for changes hangs on a link that was cut.
+    assert follower.answered_at is not None
+    follower.answered_at -= follower.trust_seconds + 0.1
+    await publisher.send_heartbeats(0.0)
+    assert len(subscriber.sent) == 2
+
+
+async def test_first_call_after_an_idle_time_does_not_wait(
+    follower: TableFollower, store: FakeStore
+) -> None:
+    relayed = True
+    follower.has_upstreams = lambda _table: relayed
+    follower.apply_image(TableSnapshot((), 5, 100.0))
+    await follower.start()
+    await run_ready_tasks()
+    relayed = False
+    follower.need_may_differ.set()
+    await run_ready_tasks()
+    store.answers.put_nowait(TableChanges((), (), 5))
+    await run_ready_tasks()
+    assert store.waits == [0.0, 1.0]
+
+
+async def test_answer_of_the_store_is_passed_on_at_once(
+    follower: TableFollower, store: FakeStore
+) -> None:
+    publisher, subscriber = TablePublisher([follower]), FakeSubscriber()
+    await follower.start()
+    await run_ready_tasks()
+    publisher.subscribe(subscriber, ["op"])
+    assert len(subscriber.sent) == 2
+    store.answers.put_nowait(TableChanges((), (), 5))
+    await run_ready_tasks()
+    assert len(subscriber.sent) == 3
