--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
@@ -6,7 +6,11 @@
     Successor,
     choose_successor,
 )
-from jackdawcrank_policy.succession.claim import Claim, next_claim
+from jackdawcrank_policy.succession.claim import (
+    Claim,
+    claim_key,
+    next_claim,
+)
 from jackdawcrank_policy.succession.primary_suspicion import (
     FailureKind,
     PrimarySuspicion,
@@ -25,6 +29,7 @@
     "PrimarySuspicion",
     "Successor",
     "SwitchoverTrigger",
+    "claim_key",
     "choose_successor",
     "next_claim",
 ]
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/claim.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/claim.py
@@ -5,6 +5,9 @@
 # A succession takes one to two seconds. After this time a holder that hangs or
 # was killed no longer blocks others.
 CLAIM_TTL_SECONDS = 3.0
+# A group never uses up the tokens of an epoch of the store, so that those of a
+# later epoch are higher.
+TOKENS_PER_EPOCH = 1 << 32
 
 
 @attrs.frozen
@@ -27,8 +30,26 @@
     settled: bool = False
 
 
+def claim_key(group: str, epoch: int) -> str:
+    """Return the key of the row that holds a group's claims in an epoch.
+
+    Each epoch has rows of its own. A late write of an earlier epoch therefore
+    never replaces a claim, although the store may have given the revision that
+    it requires out again.
+
+    Args:
+      group: The group's name.
+      epoch: The store's epoch; 0 if the store does not tell it.
+    """
+    return f"{group}#{epoch}" if epoch else group
+
+
 def next_claim(
-    present: Claim | None, holder: str, replaced: str, now: float
+    present: Claim | None,
+    holder: str,
+    replaced: str,
+    now: float,
+    epoch: int = 0,
 ) -> Claim | None:
     """Return the claim to write, or None while another claim is in force.
 
@@ -36,13 +57,15 @@
     been reset.
 
     Args:
-      present: The claim in the store, if any.
+      present: The claim in the store in this epoch, if any.
       holder: The proxy process that requests the claim.
       replaced: The primary that is to be replaced.
       now: The current time in seconds on the store's clock.
+      epoch: The store's epoch. Claims of earlier epochs may be lost, so the
+        tokens of an epoch begin above all that an earlier one can have given.
     """
     if present is None:
-        return Claim(1, holder, replaced, now)
+        return Claim(epoch * TOKENS_PER_EPOCH + 1, holder, replaced, now)
     age = now - present.claimed_at
     if not present.settled and 0.0 <= age < CLAIM_TTL_SECONDS:
         return None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
@@ -12,9 +12,12 @@
     StoredRow,
     StoreFailure,
 )
-from jackdawcrank_policy.succession import Claim, next_claim
+from jackdawcrank_policy.succession import Claim, claim_key, next_claim
 
 CLAIMS_TABLE = "succession"
+# An order whose answer was lost takes effect up to 12 s later at the users'
+# sites.
+LATE_ORDER_SECONDS = 15.0
 
 
 @attrs.frozen
@@ -25,10 +28,12 @@
       claim: The claim.
       earlier_orders_settled: Whether no promotion order of an earlier claim
         can still take effect.
+      epoch: The store's epoch in which the claim was made.
     """
 
     claim: Claim
     earlier_orders_settled: bool
+    epoch: int = 0
 
 
 class ClaimRows:
@@ -61,12 +66,18 @@
           The claim; None if another process holds one, the store failed, or
           the row is unreadable.
         """
-        image = await self.store.read_table(CLAIMS_TABLE, group)
+        epoch = self.store_health.epoch or 0
+        key = claim_key(group, epoch)
+        image = await self.store.read_table(CLAIMS_TABLE, key)
         if isinstance(image, StoreFailure):
             self.log.event("claim_failed", group=group, detail=image.detail)
             self.store_health.record_failure(f"{CLAIMS_TABLE}: {image.detail}")
             return None
         self.store_health.record_success()
+        self.store_health.record_epoch(image.epoch)
+        if image.epoch != epoch:
+            # The claims of the new epoch are read by the next attempt.
+            return None
         row = image.rows[0] if image.rows else None
         current = self.decode_claim(row) if row else None
         if row and current is None:
@@ -74,39 +85,72 @@
         if current and current.holder == holder and not current.settled:
             # The answer to an earlier write of this process was lost, or its
             # promotion order is still unanswered.
-            return HeldClaim(current, False)
-        new_claim = next_claim(current, holder, replaced, image.store_seconds)
+            return HeldClaim(current, False, epoch)
+        new_claim = next_claim(
+            current, holder, replaced, image.store_seconds, epoch
+        )
         if new_claim is None:
             return None
         written = await self.store.replace_row(
             CLAIMS_TABLE,
-            group,
+            key,
             encode_claim(new_claim),
             row.revision if row else 0,
         )
         if isinstance(written, RowWritten):
-            return HeldClaim(new_claim, current is None or current.settled)
+            self.store_health.record_epoch(written.epoch)
+            if written.epoch != epoch:
+                return None
+            settled = (
+                current.settled if current else self.no_earlier_orders(epoch)
+            )
+            return HeldClaim(new_claim, settled, epoch)
         if isinstance(written, StoreFailure):
             self.log.event("claim_failed", group=group, detail=written.detail)
         return None
 
-    async def settle(self, group: str, claim: Claim) -> None:
+    def no_earlier_orders(self, epoch: int) -> bool:
+        """Return whether no order can be pending if there is no claim.
+
+        A restored store may have lost a claim whose order is still on its way.
+
+        Args:
+          epoch: The store's epoch.
+        """
+        if not epoch:
+            return True
+        return self.store_health.epoch_seconds() >= LATE_ORDER_SECONDS
+
+    def in_force(self, held_claim: HeldClaim) -> bool:
+        """Return whether orders may be given under a claim.
+
+        Args:
+          held_claim: The claim. It is void once the store was restored, since
+            the store may have lost it.
+        """
+        return (self.store_health.epoch or 0) == held_claim.epoch
+
+    async def settle(self, group: str, held_claim: HeldClaim) -> None:
         """Mark a claim as settled, so that others may claim at once.
 
         No promotion order of a settled claim is pending.
 
         Args:
           group: The group's name.
-          claim: The claim.
+          held_claim: The claim.
         """
-        image = await self.store.read_table(CLAIMS_TABLE, group)
+        if not self.in_force(held_claim):
+            return
+        claim = held_claim.claim
+        key = claim_key(group, held_claim.epoch)
+        image = await self.store.read_table(CLAIMS_TABLE, key)
         if isinstance(image, StoreFailure) or not image.rows:
             return
         row = image.rows[0]
         if self.decode_claim(row) == claim:
             await self.store.replace_row(
                 CLAIMS_TABLE,
-                group,
+                key,
                 encode_claim(attrs.evolve(claim, settled=True)),
                 row.revision,
             )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.group_relay import GroupRelay, ProxyLocation
 from jackdawcrank.relay.homes import Homes
@@ -19,8 +21,8 @@
     ListedServer,
 )
 
-# Reports that expired during an outage of the store are back within 2 s of its
-# recovery; 0.5 s more allows for delivery.
+# Reports that expired during an outage of the store, or were lost when it was
+# restored, are back within 2 s of its recovery; 0.5 s more allows for delivery.
 REMOVAL_DELAY_SECONDS = 2.5
 
 
@@ -31,6 +33,11 @@
       declarations: The version in force, or None before the first.
       servers: The servers by the key of their report.
       removal_timers: Pending removals by the key of the missing report.
+      restored_reports: Pending reports of a restored store by their key. They
+        may be older than what is known, so the servers may replace them first.
+      epoch: The store's epoch to which the reports belong.
+      revision_offset: Added to the revisions of this epoch, so that they exceed
+        those of earlier epochs.
       groups: The declared groups by name.
       servers_known: Whether the servers were read at least once.
       servers_loaded: Set once the servers were read.
@@ -55,6 +62,9 @@
         self.declarations: Declarations | None = None
         self.servers: dict[str, ListedServer] = {}
         self.removal_timers: dict[str, asyncio.TimerHandle] = {}
+        self.restored_reports: dict[str, asyncio.TimerHandle] = {}
+        self.epoch = 0
+        self.revision_offset = 0
         self.groups: dict[str, GroupRelay] = {}
         self.servers_known = False
         self.servers_loaded = asyncio.Event()
@@ -113,20 +123,82 @@
         )
         self.update_groups()
 
+    def newer_declarations(
+        self, known: StoredRow | None, stored: StoredRow | None
+    ) -> StoredRow | None:
+        """Return the row with the newer declarations.
+
+        Args:
+          known: The row that was known before the store was restored.
+          stored: The row in the restored store.
+        """
+        if known is None or stored is None:
+            return known or stored
+        decode = self.declaration_decoder.read_declarations
+        before, after = decode(known), decode(stored)
+        if before is None or (after and after.supersedes(before)):
+            return stored
+        return known
+
+    def begin_epoch(self, epoch: int) -> bool:
+        """Record the store's epoch; return whether the store was restored.
+
+        Args:
+          epoch: The epoch of an image of the servers table.
+        """
+        restored = self.servers_known and epoch > self.epoch
+        self.epoch = epoch
+        if restored:
+            self.revision_offset = max(
+                (one.revision for one in self.servers.values()),
+                default=self.revision_offset,
+            )
+        return restored
+
     def apply_servers_image(self, image: TableSnapshot) -> None:
         """Apply an image of the servers table.
 
         Args:
           image: The whole table.
         """
+        restored = self.begin_epoch(image.epoch)
         self.servers_known = True
         self.servers_loaded.set()
-        for key in self.servers.keys() - {row.key for row in image.rows}:
-            self.schedule_removal(key)
+        if restored:
+            for row in image.rows:
+                self.schedule_restored_report(row)
+            self.remove_unlisted(image)
+            return
+        self.remove_unlisted(image)
         for row in image.rows:
             self.apply_report(row)
         self.update_groups()
 
+    def remove_unlisted(self, image: TableSnapshot) -> None:
+        """Schedule the removal of servers without a report in an image."""
+        for key in self.servers.keys() - {row.key for row in image.rows}:
+            self.schedule_removal(key)
+
+    def schedule_restored_report(self, row: StoredRow) -> None:
+        """Apply a report of a restored store later unless it is replaced.
+
+        Until then, what was known of the server counts.
+
+        Args:
+          row: The stored report.
+        """
+        pending = self.restored_reports.pop(row.key, None)
+        if pending:
+            pending.cancel()
+        self.restored_reports[row.key] = self.loop.call_later(
+            REMOVAL_DELAY_SECONDS, self.apply_restored_report, row
+        )
+
+    def apply_restored_report(self, row: StoredRow) -> None:
+        """Apply a report that its server has not replaced."""
+        self.apply_report(row)
+        self.update_groups()
+
     def apply_servers_changes(self, changes: TableChanges) -> None:
         """Apply changes of the servers table.
 
@@ -145,6 +217,10 @@
         Args:
           row: The stored report.
         """
+        pending = self.restored_reports.pop(row.key, None)
+        if pending:
+            pending.cancel()
+        row = attrs.evolve(row, revision=row.revision + self.revision_offset)
         server = self.declaration_decoder.read_server(row)
         if server is None:
             self.log.event("report_unreadable", key=row.key)
@@ -215,7 +291,10 @@
 
     async def close(self) -> None:
         """Cancel pending removals and retire the servers' connection pools."""
-        for handle in self.removal_timers.values():
+        for handle in (
+            *self.removal_timers.values(),
+            *self.restored_reports.values(),
+        ):
             handle.cancel()
         for group in self.groups.values():
             group.apply_servers(())
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -25,7 +25,6 @@
 from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank_policy.succession import (
     MIN_LAG_SECONDS,
-    Claim,
     FailureKind,
     FrozenServer,
     NoSuccessor,
@@ -242,7 +241,7 @@
             and held_claim.earlier_orders_settled
         )
         if result is ReplacementResult.DONE or no_pending_order:
-            await self.claims.settle(self.group.name, claim)
+            await self.claims.settle(self.group.name, held_claim)
 
     async def any_replica_caught_up(self) -> bool:
         """Return whether a replica has received all entries of the primary."""
@@ -349,7 +348,7 @@
             token=claim.token,
             term=term,
         )
-        return await self.promote_server(claim, choice.server_id, answers)
+        return await self.promote_server(held_claim, choice.server_id, answers)
 
     async def resume_replication(self, suspended: list[StatusResult]) -> None:
         """Let suspended replicas receive entries again."""
@@ -359,19 +358,23 @@
         )
 
     async def promote_server(
-        self, claim: Claim, server_id: str, suspended: list[StatusResult]
+        self,
+        held_claim: HeldClaim,
+        server_id: str,
+        suspended: list[StatusResult],
     ) -> "ReplacementResult":
         """Order the promotion of a server, repeatedly until it is answered.
 
         Args:
-          claim: The claim on the succession.
+          held_claim: The claim on the succession.
           server_id: The server to promote.
           suspended: The suspended replicas, resumed once the server is
             primary.
         """
         deadline = self.loop.time() + PROMOTION_TIMEOUT_SECONDS
+        claim = held_claim.claim
         unanswered = False
-        while True:
+        while self.claims.in_force(held_claim):
             answer = await self.promotion_service.promote(
                 self.group.name, server_id, self.vm, claim.token
             )
@@ -387,18 +390,15 @@
             unanswered = unanswered or answer is PromotionResult.UNANSWERED
             if answer is PromotionResult.REFUSED:
                 # Another process holds the claim, or the server is down.
-                return (
-                    ReplacementResult.UNANSWERED
-                    if unanswered
-                    else ReplacementResult.NOTHING_DONE
-                )
+                break
             if self.loop.time() >= deadline:
-                return (
-                    ReplacementResult.UNANSWERED
-                    if unanswered
-                    else ReplacementResult.NOTHING_DONE
-                )
+                break
             await asyncio.sleep(2 * POLL_SECONDS)
+        return (
+            ReplacementResult.UNANSWERED
+            if unanswered
+            else ReplacementResult.NOTHING_DONE
+        )
 
     async def await_promotion(
         self, server_id: str, suspended: list[StatusResult]
@@ -498,7 +498,7 @@
                 position=str(final_position),
             )
             server_id = old_primary.server.server_id
-        return await self.promote_server(held_claim.claim, server_id, [])
+        return await self.promote_server(held_claim, server_id, [])
 
     async def wait_for_position(
         self, pools: list[ConnectionPool], position: Position
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
@@ -182,21 +182,31 @@
 
 def encode_image(image: TableSnapshot) -> Fields:
     """Return a table image as message fields."""
-    return [encode_rows(image.rows), image.revision, image.store_seconds]
+    return [
+        encode_rows(image.rows),
+        image.revision,
+        image.store_seconds,
+        image.epoch,
+    ]
 
 
 def decode_image(fields: Fields) -> TableSnapshot:
     """Return the table image decoded from message fields."""
-    rows, revision, store_seconds = fields
-    return TableSnapshot(decode_rows(rows), revision, store_seconds)
+    rows, revision, store_seconds, epoch = fields
+    return TableSnapshot(decode_rows(rows), revision, store_seconds, epoch)
 
 
 def encode_changes(changes: TableChanges) -> Fields:
     """Return table changes as message fields."""
-    return [encode_rows(changes.rows), changes.removed, changes.revision]
+    return [
+        encode_rows(changes.rows),
+        changes.removed,
+        changes.revision,
+        changes.epoch,
+    ]
 
 
 def decode_changes(fields: Fields) -> TableChanges:
     """Return the table changes decoded from message fields."""
-    rows, removed, revision = fields
-    return TableChanges(decode_rows(rows), tuple(removed), revision)
+    rows, removed, revision, epoch = fields
+    return TableChanges(decode_rows(rows), tuple(removed), revision, epoch)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
@@ -166,15 +166,20 @@
         else:
             follower.must_read = True
 
-    def record_heartbeat(self, followed: dict[str, tuple[int, float]]) -> None:
+    def record_heartbeat(
+        self, followed: dict[str, tuple[int, int, float]]
+    ) -> None:
         """Record a heartbeat of the home.
 
+        A heartbeat about another epoch of the store proves nothing here.
+
         Args:
-          followed: The revision that the home knows and the seconds since the
-            store's last answer, by table.
+          followed: The store's epoch, the revision that the home knows and the
+            seconds since the store's last answer, by table.
         """
-        for table, (revision, answer_age) in followed.items():
-            self.followers[table].advance_revision(revision)
+        for table, (epoch, revision, answer_age) in followed.items():
+            if not self.followers[table].advance_revision(epoch, revision):
+                continue
             self.heartbeat_at[table] = self.loop.time()
             self.store_answered_at[table] = boot_seconds() - answer_age
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/member_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/member_rows.py
@@ -31,6 +31,9 @@
 # Mean delay before a failed write is retried. About a hundred VMs may retry at
 # once, so the delay is randomized.
 RETRY_SECONDS = 3.0
+# After the store was restored, VMs whose rows it lost write them again at a
+# random time within this, so that 700 VMs do not write within a second.
+REWRITE_SPREAD_SECONDS = 10.0
 
 
 @attrs.frozen
@@ -57,6 +60,7 @@
       complete: Whether the rows of all running VMs are expected to be known.
       image_loaded: Whether the whole table was read at least once.
       member_rows: All rows by VM, including stale ones.
+      epoch: The store's epoch to which the revisions of the rows belong.
       store_seconds: Returns the time on the store's clock in seconds; None
         until it is set.
     """
@@ -76,6 +80,7 @@
         self.complete = False
         self.image_loaded = False
         self.member_rows: dict[str, MemberRow] = {}
+        self.epoch = 0
         self.store_seconds: Callable[[], float] | None = None
         self.timer: Timer | None = None
         self.subscriptions: list[Subscription] = []
@@ -109,7 +114,11 @@
         Args:
           image: The whole table.
         """
+        if self.image_loaded and image.epoch > self.epoch:
+            self.apply_restored_image(image)
+            return
         self.image_loaded = True
+        self.epoch = image.epoch
         self.member_rows = {}
         for row in image.rows:
             self.apply_row(row)
@@ -124,6 +133,30 @@
         if own_row is None or own_row.member != self.own:
             self.schedule_write(0.0)
 
+    def apply_restored_image(self, image: TableSnapshot) -> None:
+        """Apply an image of a store that was restored from an older copy.
+
+        VMs whose rows it lost stay members until the rows are stale.
+
+        Args:
+          image: The whole table.
+        """
+        self.epoch = image.epoch
+        known = self.member_rows
+        self.member_rows = {}
+        for row in image.rows:
+            self.apply_row(row)
+        own_row = self.member_rows.get(self.own.vm)
+        if own_row is None or own_row.member != self.own:
+            self.schedule_write(self.rng.uniform(0.0, REWRITE_SPREAD_SECONDS))
+        for vm, kept in known.items():
+            stored = self.member_rows.get(vm)
+            if stored is None or stored.written_at < kept.written_at:
+                # Revision 0 requires that the row does not exist.
+                revision = stored.revision if stored else 0
+                self.member_rows[vm] = attrs.evolve(kept, revision=revision)
+        self.refresh_members()
+
     def apply_changes(self, changes: TableChanges) -> None:
         """Apply changes of the table.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -150,6 +150,10 @@
                 ),
             )
         }
+        declarations = self.followers[declaration_decoder.declarations_table]
+        # Declarations have versions of their own, so any image may be offered.
+        declarations.on_outdated_image = self.directory.apply_declarations_image
+        declarations.row_after_restoration = self.directory.newer_declarations
         self.members.store_seconds = self.followers[MEMBERS_TABLE].store_seconds
         # Whether this VM is a home follows from the declarations and members.
         servers = self.followers[declaration_decoder.servers_table]
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/store_health.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/store_health.py
@@ -1,20 +1,43 @@
-"""Whether this process can reach the store."""
+"""Whether this process can reach the store, and the store's epoch."""
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.clocks import boot_seconds
 
 
 class StoreHealth:
-    """Tracks whether calls to the store succeed.
+    """Tracks whether calls to the store succeed, and when it was restored.
 
     Attributes:
       lost: Whether the latest call got no usable answer.
       failures: The number of failed calls since the last usable answer.
+      epoch: The store's epoch; None before its first answer.
+      epoch_seen_at: When an answer of this epoch was first received, in
+        seconds since boot.
     """
 
     def __init__(self, log: DecisionLog) -> None:
         self.log = log
         self.lost = False
         self.failures = 0
+        self.epoch: int | None = None
+        self.epoch_seen_at = 0.0
+
+    def record_epoch(self, epoch: int) -> None:
+        """Record the epoch of an answer.
+
+        Args:
+          epoch: The epoch; one that is not above the known one is ignored.
+        """
+        if self.epoch is not None and epoch <= self.epoch:
+            return
+        if self.epoch is not None:
+            self.log.event("store_restored", old_epoch=self.epoch, epoch=epoch)
+        self.epoch = epoch
+        self.epoch_seen_at = boot_seconds()
+
+    def epoch_seconds(self) -> float:
+        """Return for how long this process has known the present epoch."""
+        return boot_seconds() - self.epoch_seen_at
 
     def record_success(self) -> None:
         """Record a usable answer."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -76,6 +76,7 @@
       discovery_seconds: How long after the start this process looks for
         upstream VMs before it follows the store.
       rows: The table's rows by key.
+      epoch: The store's epoch to which the rows and revisions belong.
       revision: The store's revision up to which all changes are known; None
         before the first image.
       last_change_revision: The revision of the latest image or non-empty
@@ -88,6 +89,10 @@
       store_health: Records answers and failures of the store.
       observer: Receives each new image and change; may be None.
       on_applied: Called after each new image or change is applied.
+      on_outdated_image: Called with an image that is not applied, since it is
+        no newer than the known rows.
+      row_after_restoration: Returns which row to keep, given the known one and
+        the one in a store that was restored, each None if there is none.
       need_may_differ: Set when `needed` may return another value.
       failures: The number of failed calls in a row.
       answered_at: When the store last answered, in seconds since boot; None
@@ -123,7 +128,14 @@
         self.observer: TableObserver | None = None
         self.on_applied: Callable[[], None] = lambda: None
         self.need_may_differ = asyncio.Event()
+        self.on_outdated_image: Callable[[TableSnapshot], None] = (
+            lambda _image: None
+        )
+        self.row_after_restoration: Callable[
+            [StoredRow | None, StoredRow | None], StoredRow | None
+        ] = lambda _known, stored: stored
         self.rows: dict[str, StoredRow] = {}
+        self.epoch = 0
         self.revision: int | None = None
         self.last_change_revision = 0
         self.must_read = True
@@ -204,6 +216,7 @@
             await self.failed(image)
             return
         self.answered()
+        self.store_health.record_epoch(image.epoch)
         self.apply_image(image)
 
     async def follow(self, revision: int, wait_seconds: float) -> None:
@@ -222,10 +235,11 @@
             self.log.event("history_gone", table=self.table, after=revision)
             self.must_read = True
             return
+        self.store_health.record_epoch(changes.epoch)
         self.apply_changes(changes)
         if self.observer is not None:
             self.observer.store_answered(self)
-        if changes.rows or changes.removed:
+        if (changes.rows or changes.removed) and not self.must_read:
             await asyncio.sleep(COALESCE_SECONDS)
 
     def apply_image(self, image: TableSnapshot) -> None:
@@ -234,17 +248,39 @@
         Args:
           image: The whole table; ignored unless newer than the known rows.
         """
-        self.must_read = False
-        if self.revision is not None and image.revision <= self.revision:
+        if image.epoch >= self.epoch:
+            self.must_read = False
+        if self.revision is not None and (image.epoch, image.revision) <= (
+            self.epoch,
+            self.revision,
+        ):
+            self.on_outdated_image(image)
             return
         self.store_offset = image.store_seconds - self.loop.time()
-        self.rows = {row.key: row for row in image.rows}
+        restored = self.revision is not None and image.epoch > self.epoch
+        rows = {row.key: row for row in image.rows}
+        self.rows = self.merge_restored(rows) if restored else rows
+        self.epoch = image.epoch
         self.revision = self.last_change_revision = image.revision
         self.on_image(image)
         if self.observer is not None:
             self.observer.image_applied(self)
         self.on_applied()
 
+    def merge_restored(
+        self, stored: dict[str, StoredRow]
+    ) -> dict[str, StoredRow]:
+        """Return the rows to keep after the store was restored.
+
+        Args:
+          stored: The rows of the restored store by key.
+        """
+        kept = {
+            key: self.row_after_restoration(self.rows.get(key), stored.get(key))
+            for key in self.rows.keys() | stored.keys()
+        }
+        return {key: row for key, row in kept.items() if row is not None}
+
     def apply_changes(self, changes: TableChanges) -> None:
         """Apply changes, read from the store or sent by an upstream VM.
 
@@ -252,6 +288,10 @@
           changes: All changes since a revision that is known here; ignored
             unless newer than the known rows.
         """
+        if changes.epoch != self.epoch:
+            # Revisions were given out again, so changes may be missing.
+            self.must_read = self.must_read or changes.epoch > self.epoch
+            return
         if self.revision is None or changes.revision <= self.revision:
             return
         self.revision = changes.revision
@@ -269,14 +309,21 @@
             self.observer.changes_applied(self, after, changes)
         self.on_applied()
 
-    def advance_revision(self, revision: int) -> None:
+    def advance_revision(self, epoch: int, revision: int) -> bool:
         """Record that all changes up to a revision are known.
 
         Args:
+          epoch: The store's epoch.
           revision: The store's revision.
+
+        Returns:
+          Whether the revision belongs to the epoch of the known rows.
         """
+        if epoch != self.epoch:
+            return False
         if self.revision is not None:
             self.revision = max(self.revision, revision)
+        return True
 
     def image(self) -> TableSnapshot | None:
         """Return the known table; None before the first image."""
@@ -286,6 +333,7 @@
             tuple(self.rows.values()),
             self.last_change_revision,
             self.store_seconds(),
+            self.epoch,
         )
 
     def store_seconds(self) -> float:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_publisher.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_publisher.py
@@ -146,7 +146,11 @@
     def send_heartbeat(self, subscriber: Subscriber, tables: set[str]) -> None:
         """Send what is known of those tables that are followed here."""
         followed = {
-            table: (follower.revision, follower.answer_age())
+            table: (
+                follower.epoch,
+                follower.revision,
+                follower.answer_age(),
+            )
             for table in tables
             if (follower := self.followers[table]).active()
         }
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/seams/metadata_store.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/metadata_store.py
@@ -1,4 +1,9 @@
-"""Interface of the metadata store, which keeps durable state."""
+"""Interface of the metadata store, which keeps durable state.
+
+A store may be restored from an older copy. It then loses recent writes, and it
+gives revisions out again. Each restoration begins a new epoch, whose number is
+higher; revisions are comparable only within an epoch.
+"""
 
 import typing
 
@@ -28,11 +33,13 @@
       rows: The rows.
       revision: The store's newest revision at the time of the snapshot.
       store_seconds: The store's monotonic clock at that time, in seconds.
+      epoch: The store's epoch; 0 if the store does not tell it.
     """
 
     rows: tuple[StoredRow, ...]
     revision: int
     store_seconds: float
+    epoch: int = 0
 
 
 @attrs.frozen
@@ -43,11 +50,13 @@
       rows: The rows that were written, in the order of their writes.
       removed: The keys of rows that were removed.
       revision: The revision from which to continue.
+      epoch: The store's epoch.
     """
 
     rows: tuple[StoredRow, ...]
     removed: tuple[str, ...]
     revision: int
+    epoch: int = 0
 
 
 @attrs.frozen
@@ -74,9 +83,11 @@
 
     Attributes:
       revision: The revision of the write.
+      epoch: The store's epoch at the time of the write.
     """
 
     revision: int
+    epoch: int = 0
 
 
 @attrs.frozen
