Read the settings file again, and let one follower probe a lost store

Cause: SIGHUP was only logged, and a settings file that changed without it was never read. Change: the file is read after SIGHUP and when its modification time differs; what may change while running is applied, changes are logged with old and new value, an invalid file is refused with the reason and the old settings stay. Only the follower of the declarations probes a lost store; the others call it again when it answers, or after 2 s.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -60,7 +60,20 @@
             "seconds": "seconds since the signal",
         },
     ),
-    EventSpec("settings_reload_requested", "SIGHUP came", {}),
+    EventSpec(
+        "settings_reloaded",
+        "the settings file was read again",
+        {
+            "why": "`signal` after SIGHUP, or `changed` if the file differs",
+            "changes": "old and new value of each changed setting by name",
+            "restart_needed": "changed settings that need a restart",
+        },
+    ),
+    EventSpec(
+        "settings_rejected",
+        "the changed settings file is invalid; the old settings stay",
+        {"why": "as in `settings_reloaded`", "detail": "what is wrong"},
+    ),
     EventSpec(
         "store_lost",
         "the first call to the store without a usable answer",
@@ -71,6 +84,11 @@
         "the store answers again",
         {"failures": "calls that failed in between"},
     ),
+    EventSpec(
+        "store_restored",
+        "the store came back from an older copy and lost recent writes",
+        {"old_epoch": "its epoch before", "epoch": "its epoch now"},
+    ),
     EventSpec(
         "history_gone",
         "the store no longer keeps the changes asked for",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Callable
 
+import attrs
+
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.caller_session import CallerSession
 from jackdawcrank.relay.claim_rows import ClaimRows
@@ -38,13 +40,6 @@
 
 # Callers time out on connecting after 2 s.
 FIRST_CONFIGURATION_TIMEOUT_SECONDS = 1.8
-# Share of a table's time limit (3 s or more) after which an answer of the store
-# no longer proves that the table is current. The rest is for reading changes
-# over a new connection.
-TRUST_SHARE = 0.8
-# Share of a table's time limit after which a wait for changes is renewed, so
-# that other VMs hear of the new answer while they still trust the last one.
-WAIT_SHARE = 0.7
 # Time limit for changes of the members, which no rule bounds. Shorter than the
 # 20 s of changes that the store keeps on users' sites.
 MEMBERS_LIMIT_SECONDS = 19.0
@@ -52,6 +47,15 @@
 # than the time for which the first read proves a table current (2.4 s or
 # more).
 STARTUP_SETTLE_SECONDS = 2.0
+# Settings that take effect while the process runs.
+RELOADABLE = frozenset(
+    {
+        "configuration_seconds",
+        "drain_seconds",
+        "regions",
+        "stop_grace_seconds",
+    }
+)
 
 
 class RelayProxy:
@@ -112,8 +116,7 @@
                 TableFollower(
                     store,
                     declaration_decoder.declarations_table,
-                    settings.configuration_seconds * WAIT_SHARE,
-                    settings.configuration_seconds * TRUST_SHARE,
+                    settings.configuration_seconds,
                     STARTUP_SETTLE_SECONDS,
                     self.directory.apply_declarations_image,
                     self.directory.apply_declarations_changes,
@@ -125,8 +128,7 @@
                 TableFollower(
                     store,
                     declaration_decoder.servers_table,
-                    settings.drain_seconds * WAIT_SHARE,
-                    settings.drain_seconds * TRUST_SHARE,
+                    settings.drain_seconds,
                     STARTUP_SETTLE_SECONDS,
                     self.directory.apply_servers_image,
                     self.directory.apply_servers_changes,
@@ -138,8 +140,7 @@
                 TableFollower(
                     store,
                     MEMBERS_TABLE,
-                    MEMBERS_LIMIT_SECONDS * WAIT_SHARE,
-                    MEMBERS_LIMIT_SECONDS * TRUST_SHARE,
+                    MEMBERS_LIMIT_SECONDS,
                     DISCOVERY_SECONDS,
                     self.members.apply_image,
                     self.members.apply_changes,
@@ -151,6 +152,7 @@
             )
         }
         declarations = self.followers[declaration_decoder.declarations_table]
+        declarations.probes_store = True
         # Declarations have versions of their own, so any image may be offered.
         declarations.on_outdated_image = self.directory.apply_declarations_image
         declarations.row_after_restoration = self.directory.newer_declarations
@@ -194,6 +196,30 @@
             front, self.home_server, settings.stop_grace_seconds, log
         )
 
+    def apply_settings(self, settings: RelaySettings) -> set[str]:
+        """Apply settings that were changed while the process runs.
+
+        Args:
+          settings: The new settings.
+
+        Returns:
+          The names of the changed settings that need a restart.
+        """
+        changed = changed_settings(self.settings, settings)
+        applied = attrs.evolve(
+            self.settings,
+            **{name: getattr(settings, name) for name in changed & RELOADABLE},
+        )
+        self.settings = applied
+        self.directory.proxy_location.regions = applied.regions
+        self.graceful_shutdown.grace_seconds = applied.stop_grace_seconds
+        decoder = self.directory.declaration_decoder
+        self.followers[decoder.declarations_table].set_limit(
+            applied.configuration_seconds
+        )
+        self.followers[decoder.servers_table].set_limit(applied.drain_seconds)
+        return changed - RELOADABLE
+
     def is_home(self) -> bool:
         """Return whether this proxy is a home of at least one group."""
         declarations = self.directory.declarations
@@ -272,6 +298,20 @@
         await self.timer.close()
 
 
+def changed_settings(old: RelaySettings, new: RelaySettings) -> set[str]:
+    """Return the names of the settings that differ.
+
+    Args:
+      old: The settings before.
+      new: The settings after.
+    """
+    return {
+        one.name
+        for one in attrs.fields(RelaySettings)
+        if getattr(old, one.name) != getattr(new, one.name)
+    }
+
+
 def own_member(settings: RelaySettings) -> Member:
     """Return the member entry of this VM.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/store_health.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/store_health.py
@@ -1,5 +1,8 @@
 """Whether this process can reach the store, and the store's epoch."""
 
+import asyncio
+import contextlib
+
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.clocks import boot_seconds
 
@@ -10,6 +13,7 @@
     Attributes:
       lost: Whether the latest call got no usable answer.
       failures: The number of failed calls since the last usable answer.
+      regained: Set and replaced whenever the store is regained.
       epoch: The store's epoch; None before its first answer.
       epoch_seen_at: When an answer of this epoch was first received, in
         seconds since boot.
@@ -19,6 +23,7 @@
         self.log = log
         self.lost = False
         self.failures = 0
+        self.regained = asyncio.Event()
         self.epoch: int | None = None
         self.epoch_seen_at = 0.0
 
@@ -43,9 +48,22 @@
         """Record a usable answer."""
         if self.lost:
             self.log.event("store_regained", failures=self.failures)
+            self.regained.set()
+            self.regained = asyncio.Event()
         self.lost = False
         self.failures = 0
 
+    async def wait_regained(self, timeout_seconds: float) -> None:
+        """Wait until the store is regained, at most for a time.
+
+        Args:
+          timeout_seconds: The longest wait, in seconds.
+        """
+        if self.lost:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_seconds):
+                    await self.regained.wait()
+
     def record_failure(self, detail: str) -> None:
         """Record a call that got no usable answer.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -21,10 +21,23 @@
 from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank_policy.retry.backoff import backoff_seconds
 
+# Share of a table's time limit (3 s or more) after which an answer of the store
+# no longer proves that the table is current. The rest is for reading changes
+# over a new connection.
+TRUST_SHARE = 0.8
+# Share of a table's time limit after which a wait for changes is renewed, so
+# that other VMs hear of the new answer while they still trust the last one.
+WAIT_SHARE = 0.7
 # A recovered store must be noticed well within the time limit for applying a
 # configuration (3 s).
 MAX_BACKOFF_SECONDS = 0.5
 INITIAL_BACKOFF_SECONDS = 0.1
+# While the store is lost, the followers that do not probe it check this often
+# whether it has been regained without their notice.
+OUTAGE_POLL_SECONDS = 2.0
+# A follower may fail alone, for example on a connection that was reset, so it
+# calls the store again before it waits for the one that probes.
+FAILURES_BEFORE_WAITING = 2
 # Changes come in bursts when servers start or configurations follow each other;
 # waiting lets one call fetch several. A tenth of the time limit for applying a
 # configuration.
@@ -95,6 +108,8 @@
         the one in a store that was restored, each None if there is none.
       need_may_differ: Set when `needed` may return another value.
       failures: The number of failed calls in a row.
+      probes_store: Whether this follower calls the store again and again while
+        it is lost; the others of the process then wait.
       answered_at: When the store last answered, in seconds since boot; None
         before its first answer.
     """
@@ -103,8 +118,7 @@
         self,
         store: MetadataStore,
         table: str,
-        wait_seconds: float,
-        trust_seconds: float,
+        limit_seconds: float,
         discovery_seconds: float,
         on_image: Callable[[TableSnapshot], None],
         on_changes: Callable[[TableChanges], None],
@@ -116,8 +130,7 @@
         self.needed = needed
         self.store = store
         self.table = table
-        self.wait_seconds = wait_seconds
-        self.trust_seconds = trust_seconds
+        self.set_limit(limit_seconds)
         self.discovery_seconds = discovery_seconds
         self.on_image = on_image
         self.on_changes = on_changes
@@ -142,10 +155,20 @@
         self.store_offset = 0.0
         self.discovery_ends_at = 0.0
         self.failures = 0
+        self.probes_store = False
         self.answered_at: float | None = None
         self.loop = asyncio.get_running_loop()
         self.task: asyncio.Task[None] | None = None
 
+    def set_limit(self, limit_seconds: float) -> None:
+        """Set the time within which a change must be known.
+
+        Args:
+          limit_seconds: The time limit in seconds.
+        """
+        self.wait_seconds = limit_seconds * WAIT_SHARE
+        self.trust_seconds = limit_seconds * TRUST_SHARE
+
     async def start(self) -> None:
         """Start to follow the table."""
         self.discovery_ends_at = self.loop.time() + self.discovery_seconds
@@ -349,6 +372,9 @@
     async def failed(self, failure: StoreFailure) -> None:
         """Record a failure and wait before the next attempt."""
         self.store_health.record_failure(f"{self.table}: {failure.detail}")
+        if not self.probes_store and self.failures >= FAILURES_BEFORE_WAITING:
+            await self.store_health.wait_regained(OUTAGE_POLL_SECONDS)
+            return
         pause = backoff_seconds(
             self.failures,
             self.rng,
--- a/packages/jackdawcrank-proxy/tests/decisions/test_events.py
+++ b/packages/jackdawcrank-proxy/tests/decisions/test_events.py
@@ -23,7 +23,7 @@
     paths += (ROOT / "platform/src").glob("**/*.py")
     for path in paths:
         found |= set(EVENT_CALL.findall(path.read_text()))
-    return found | {"settings_reload_requested"}
+    return found
 
 
 def test_declared_and_written_events_match() -> None:
--- a/packages/jackdawcrank-proxy/tests/relay/conftest.py
+++ b/packages/jackdawcrank-proxy/tests/relay/conftest.py
@@ -24,6 +24,9 @@
 from jackdawcrank_policy.sessions import ConnectionContext
 from jackdawcrank_policy.values.position import Position
 
+# Time within which a followed change must be known.
+LIMIT_SECONDS = 2.0
+
 
 @attrs.define(eq=False)
 class FakeConnection:
@@ -146,8 +149,7 @@
     one = TableFollower(
         store,
         "op",
-        1.0,
-        1.5,
+        LIMIT_SECONDS,
         0.0,
         lambda _image: None,
         lambda _changes: None,
--- a/packages/jackdawcrank-proxy/tests/relay/test_table_follower.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_table_follower.py
@@ -1,10 +1,18 @@
+import asyncio
+
 import attrs
+import pytest
 
-from jackdawcrank.relay.table_follower import TableFollower
+from jackdawcrank.relay.table_follower import (
+    FAILURES_BEFORE_WAITING,
+    MAX_BACKOFF_SECONDS,
+    TableFollower,
+)
 from jackdawcrank.relay.table_publisher import TablePublisher
 from jackdawcrank.seams.metadata_store import (
     HistoryTrimmed,
     StoredRow,
+    StoreFailure,
     TableChanges,
     TableSnapshot,
 )
@@ -155,7 +163,7 @@
     await run_ready_tasks()
     store.answers.put_nowait(TableChanges((), (), 5))
     await run_ready_tasks()
-    assert store.waits == [0.0, 1.0]
+    assert store.waits == [0.0, follower.wait_seconds]
 
 
 async def test_answer_of_the_store_is_passed_on_at_once(
@@ -227,3 +235,20 @@
     assert health.epoch_seconds() >= 20.0
     health.record_epoch(4)
     assert (health.epoch, health.epoch_seconds() < 1.0) == (4, True)
+
+
+@pytest.mark.parametrize("probes_store", [True, False])
+async def test_one_follower_probes_a_lost_store(
+    follower: TableFollower, store: FakeStore, probes_store: bool
+) -> None:
+    follower.probes_store = probes_store
+    follower.failures = FAILURES_BEFORE_WAITING
+    store.image = StoreFailure(False, "status 503")
+    await follower.start()
+    await asyncio.sleep(MAX_BACKOFF_SECONDS + 0.1)
+    assert (store.reads > 1) is probes_store
+    # The others call again as soon as the store answers one.
+    reads = store.reads
+    follower.store_health.record_success()
+    await run_ready_tasks()
+    assert store.reads == reads + (not probes_store)
