Close a silent connection whose idle neighbours were replaced already

The pool drops a busy connection only if idle ones do not answer now; where another request had already found those silent and replaced them, the new ones answered and the statement on the silent connection waited for its deadline. Change: the pool remembers when an idle connection last failed to answer, and suspects a late statement whose connection has not answered since.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
@@ -48,6 +48,8 @@
       limit: The maximum number of connections; may be changed at any time.
       warm: The number of connections to keep open in advance.
       in_use: The number of connections in use or being checked.
+      silent_at: Monotonic time at which an idle connection last failed to
+        answer a ping, in seconds.
       draining: Whether the pool refuses to hand out connections.
       idle: The connections that are available.
       busy: The connections that are handed out.
@@ -68,6 +70,7 @@
         self.opening = 0
         self.draining = False
         self.last_loss_at = 0.0
+        self.silent_at = 0.0
         self.pinged_at = 0.0
         self.idle: list[ServerConnection] = []
         self.busy: set[ServerConnection] = set()
@@ -171,11 +174,14 @@
 
     async def _is_alive(self, connection: ServerConnection) -> bool:
         try:
-            return await connection.ping(PING_TIMEOUT_SECONDS)
+            answered = await connection.ping(PING_TIMEOUT_SECONDS)
         except asyncio.CancelledError:
             self.in_use -= 1
             self._wake_one()
             raise
+        if not answered:
+            self.silent_at = time.monotonic()
+        return answered
 
     async def _open(
         self, timeout_seconds: float
@@ -284,8 +290,9 @@
     async def _drop_silent_busy(self) -> None:
         """Close connections that are dead rather than running slow statements.
 
-        If idle connections do not answer either, but a new one can be opened,
-        a network device in between has dropped the state of the old ones.
+        If idle connections do not answer either, or have not done so since the
+        busy ones last answered, but a new one can be opened, a network device
+        in between has dropped the state of the old ones.
         """
         suspected = [
             connection
@@ -293,6 +300,13 @@
             if connection.statement_sent_at is not None
         ]
         if not await self._check_all_idle():
+            # Silent idle connections may have been replaced already.
+            suspected = [
+                connection
+                for connection in suspected
+                if connection.last_answer_at < self.silent_at
+            ]
+        if not suspected:
             return
         fresh = await self._open(CONNECT_TIMEOUT_SECONDS)
         if not isinstance(fresh, ServerConnection):
--- a/packages/jackdawcrank-proxy/tests/backend/test_server_pool.py
+++ b/packages/jackdawcrank-proxy/tests/backend/test_server_pool.py
@@ -7,6 +7,7 @@
 import pytest
 
 from jackdawcrank.backend import server_pool
+from jackdawcrank.backend.answer import LostAnswer
 from jackdawcrank.backend.endpoint import Endpoint
 from jackdawcrank.backend.server_connection import (
     ConnectFailed,
@@ -108,6 +109,30 @@
     assert (pool.in_use, pool.opening) == (0, 0)
 
 
+async def test_silent_busy_connection_is_closed_after_the_idle_ones(
+    pool: ServerPool,
+    server: BackendServer,
+    dropped: list[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(
+        server_pool, "LATE_ANSWER_SECONDS", 50 * POLL_INTERVAL_SECONDS
+    )
+    busy = await pool.acquire(2.0)
+    assert isinstance(busy, ServerConnection)
+    server.silence()
+    running = asyncio.create_task(busy.run("SELECT 1", CLOSE_TIMEOUT_SECONDS))
+    await asyncio.sleep(0)
+    make_idle_connections_stale(pool)
+    # The idle connections are found silent and replaced by ones that answer
+    # before the statement is late.
+    await wait_until(lambda: len(dropped) == WARM - 1)
+    await wait_until(lambda: len(pool.idle) == WARM - 1)
+    await wait_until(lambda: not busy.usable)
+    assert isinstance(await running, LostAnswer)
+    pool.release(busy)
+
+
 async def test_closed_connections_are_replaced_without_a_ping(
     pool: ServerPool,
     server: BackendServer,
