Add up a period's losses from the logs, and document epochs and reloads

Change: jackdawcrankctl losses adds up refused, doubtful, rolled back and late statements by cause and by second, and the time from a process's start to its first answer. A log line whose time is null is skipped; it raised a TypeError.

--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/log_lines.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/log_lines.py
@@ -48,7 +48,11 @@
             continue
         try:
             body = json.loads(text[start:])
-            at, vm, event = body.pop("at"), body.pop("vm"), body.pop("event")
+            at, vm, event = (
+                float(body.pop("at")),
+                str(body.pop("vm")),
+                str(body.pop("event")),
+            )
         except (ValueError, KeyError, TypeError, AttributeError):
             continue
-        yield LogLine(float(at), str(vm), str(event), body)
+        yield LogLine(at, vm, event, body)
--- /dev/null
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/losses/__init__.py
@@ -0,0 +1,6 @@
+"""Adds up what callers lost in a period, from plain log files."""
+
+from jackdawcrank_cli.losses.loss import Loss, find_losses
+from jackdawcrank_cli.losses.start_time import StartTime, find_start_times
+
+__all__ = ["Loss", "StartTime", "find_losses", "find_start_times"]
--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/main.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/main.py
@@ -11,6 +11,7 @@
 from jackdawcrank_cli.commands.diff import diff
 from jackdawcrank_cli.commands.explain import explain
 from jackdawcrank_cli.commands.get import describe, get
+from jackdawcrank_cli.commands.losses import losses
 from jackdawcrank_cli.commands.settings import settings
 from jackdawcrank_cli.commands.status import status
 from jackdawcrank_cli.commands.timeline import timeline
@@ -32,6 +33,7 @@
     status,
     timeline,
     explain,
+    losses,
     settings,
 )
 
@@ -59,7 +61,7 @@
 
 for command in COMMANDS:
     main.add_command(command)
-    if command not in (explain, settings):
+    if command not in (explain, losses, settings):
         command.params.append(output_option())
 
 
--- a/packages/jackdawcrank-cli/tests/explain/test_explain.py
+++ b/packages/jackdawcrank-cli/tests/explain/test_explain.py
@@ -41,6 +41,7 @@
         '{"at": 1.0, "vm": "a"',
         "[1]",
         '{"event": "x"}',
+        '{"at": null, "vm": "a", "event": "x"}',
         '  3.1 a {"at": 1.5, "vm": "a", "event": "stopped"}',
     ]
     assert list(read_lines(texts)) == [LogLine(1.5, "a", "stopped", {})]
