Pace the calls to a lost store, and note an epoch that peers tell

Cause: found in reading. A follower that waits for the store was woken by one that idles on upstream VMs, which takes their heartbeats for a reachable store, and called again without a pause. A VM whose tables are relayed did not note the epoch of a relayed table, so that a claim of before was void only once it had called the store itself. Change: the pause comes before the wait; the epoch is noted with each table and change that is applied, whoever sent it. No change on a store that tells no epoch and answers.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -239,7 +239,6 @@
             await self.failed(image)
             return
         self.answered()
-        self.store_health.record_epoch(image.epoch)
         self.apply_image(image)
 
     async def follow(self, revision: int, wait_seconds: float) -> None:
@@ -258,7 +257,6 @@
             self.log.event("history_gone", table=self.table, after=revision)
             self.must_read = True
             return
-        self.store_health.record_epoch(changes.epoch)
         self.apply_changes(changes)
         if self.observer is not None:
             self.observer.store_answered(self)
@@ -271,6 +269,7 @@
         Args:
           image: The whole table; ignored unless newer than the known rows.
         """
+        self.store_health.record_epoch(image.epoch)
         if image.epoch >= self.epoch:
             self.must_read = False
         if self.revision is not None and (image.epoch, image.revision) <= (
@@ -311,6 +310,7 @@
           changes: All changes since a revision that is known here; ignored
             unless newer than the known rows.
         """
+        self.store_health.record_epoch(changes.epoch)
         if changes.epoch != self.epoch:
             # Revisions were given out again, so changes may be missing.
             self.must_read = self.must_read or changes.epoch > self.epoch
@@ -372,9 +372,6 @@
     async def failed(self, failure: StoreFailure) -> None:
         """Record a failure and wait before the next attempt."""
         self.store_health.record_failure(f"{self.table}: {failure.detail}")
-        if not self.probes_store and self.failures >= FAILURES_BEFORE_WAITING:
-            await self.store_health.wait_regained(OUTAGE_POLL_SECONDS)
-            return
         pause = backoff_seconds(
             self.failures,
             self.rng,
@@ -383,3 +380,5 @@
         )
         self.failures += 1
         await asyncio.sleep(pause)
+        if not self.probes_store and self.failures > FAILURES_BEFORE_WAITING:
+            await self.store_health.wait_regained(OUTAGE_POLL_SECONDS)
