Wait for homes that are starting, on a VM that knows no servers

Change: a home whose VM refuses a connection is tried again after 0.1 s, not 1 s; until then statements wait if this VM knows no servers itself. A home that is silent is skipped for 1 s as before.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
@@ -7,6 +7,7 @@
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.execution import Execution
+from jackdawcrank.relay.group_relay import GroupRelay
 from jackdawcrank.relay.home_messages import (
     Kind,
     encode_execution,
@@ -14,6 +15,7 @@
     pack,
 )
 from jackdawcrank.relay.home_stream import (
+    HOME_CONNECT_TIMEOUT_SECONDS,
     HOME_MARGIN_SECONDS,
     HomeAnswer,
     HomeLost,
@@ -32,6 +34,10 @@
 # How long an unreachable home is skipped: the time in which a killed process
 # restarts.
 UNREACHABLE_BACKOFF_SECONDS = 1.0
+# How long a home is skipped whose VM refused the connection, so that it is up
+# and its process may be starting. A small part of a statement's time (0.8 s or
+# more).
+REFUSED_BACKOFF_SECONDS = 0.1
 
 
 @attrs.define
@@ -43,11 +49,13 @@
       opening: The connection attempt in progress, or None.
       retry_at: When the home may be tried again, in seconds on the event
         loop's clock.
+      refused: Whether the home's VM refused the last connection.
     """
 
     stream: HomeStream | None = None
     opening: asyncio.Task[HomeStream | None] | None = None
     retry_at: float = 0.0
+    refused: bool = False
 
 
 @attrs.frozen
@@ -175,7 +183,12 @@
         while not self.homes.is_home(group.group):
             stream = await self.stream_for(session, deadline)
             if stream is None:
-                return None
+                if group.pools or not self.home_may_be_starting(group):
+                    return None
+                if self.loop.time() >= deadline:
+                    return self.timeout_reply(session, execution)
+                await asyncio.sleep(REFUSED_BACKOFF_SECONDS)
+                continue
             number, answer = await self.call_home(
                 stream, kind, session, execution, deadline
             )
@@ -188,6 +201,21 @@
                 return self.timeout_reply(session, execution)
         return None
 
+    def home_may_be_starting(self, group: GroupRelay) -> bool:
+        """Return whether a home's VM is up and refused the last connection.
+
+        A VM that was never a home knows no servers and cannot run statements
+        itself. After the loss of all VMs, it may be ready before the homes.
+
+        Args:
+          group: The group.
+        """
+        return any(
+            self.routes[member.vm].refused
+            for member in self.homes.forwarding_targets(group.group)
+            if member.vm in self.routes
+        )
+
     async def call_home(
         self,
         stream: HomeStream,
@@ -264,13 +292,24 @@
 
     async def open(self, member: Member, route: Route) -> HomeStream | None:
         """Connect to a home and update its route."""
+        started_at = self.loop.time()
         try:
             route.stream = await open_stream(
                 member, self.followers, self.detect_dead_peer
             )
         finally:
             route.opening = None
+        now = self.loop.time()
+        # A VM that is cut off or has no power does not answer at all.
+        answered = now - started_at < HOME_CONNECT_TIMEOUT_SECONDS
+        refused_before = route.refused
+        route.refused = route.stream is None and answered
         if route.stream is None:
-            route.retry_at = self.loop.time() + UNREACHABLE_BACKOFF_SECONDS
-            self.log.event("home_unreachable", home=member.vm)
+            route.retry_at = now + (
+                REFUSED_BACKOFF_SECONDS
+                if route.refused
+                else UNREACHABLE_BACKOFF_SECONDS
+            )
+            if not (refused_before and route.refused):
+                self.log.event("home_unreachable", home=member.vm)
         return route.stream
