Stop waiting for homes while an answer in time is still possible

Change: a statement that waits for homes to start is refused once less than an attempt's shortest time (0.3 s) is left.

--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
@@ -25,7 +25,11 @@
 from jackdawcrank.relay.homes import Homes
 from jackdawcrank.relay.remote_transaction import RemoteTransaction
 from jackdawcrank.relay.session_view import SessionView
-from jackdawcrank.relay.statement_runner import StatementRunner, resolved
+from jackdawcrank.relay.statement_runner import (
+    MIN_ATTEMPT_SECONDS,
+    StatementRunner,
+    resolved,
+)
 from jackdawcrank.relay.table_follower import TableFollower
 from jackdawcrank.relay.transaction_view import Transaction
 from jackdawcrank.seams.replies import Problem, Reply
@@ -185,9 +189,10 @@
             if stream is None:
                 if group.pools or not self.home_may_be_starting(group):
                     return None
-                if self.loop.time() >= deadline:
-                    return self.timeout_reply(session, execution)
                 await asyncio.sleep(REFUSED_BACKOFF_SECONDS)
+                # A write that is sent too late would be in doubt.
+                if self.loop.time() + MIN_ATTEMPT_SECONDS >= deadline:
+                    return self.timeout_reply(session, execution)
                 continue
             number, answer = await self.call_home(
                 stream, kind, session, execution, deadline
