Let the tests of processes wait for every process

The fixture waited for vm1 only, and the test connects to vm3 once; under load vm3 was still starting. Change: the fixture waits until each process listens on its ports for operators and callers. The tests and their checks are as they were.

--- a/packages/jackdawcrank-proxy/tests/system/test_processes.py
+++ b/packages/jackdawcrank-proxy/tests/system/test_processes.py
@@ -137,7 +137,9 @@
     await asyncio.sleep(1.0)
     try:
         async with asyncio.timeout(WAIT_SECONDS):
-            await wait_for_api(system)
+            for vm in system.running:
+                await wait_for_port(system, vm, "operator_port")
+                await wait_for_port(system, vm, "caller_port")
         await system.declare()
         yield system
     finally:
@@ -148,13 +150,12 @@
         await system.platform.close()
 
 
-async def wait_for_api(system: Processes) -> None:
-    port = json.loads((system.folder / "vm1.json").read_text())
+async def wait_for_port(system: Processes, vm: str, name: str) -> None:
+    """Wait until a process listens on one of its ports."""
+    settings = json.loads((system.folder / f"{vm}.json").read_text())
     while True:
         try:
-            _, writer = await asyncio.open_connection(
-                HOST, port["operator_port"]
-            )
+            _, writer = await asyncio.open_connection(HOST, settings[name])
         except OSError:
             await asyncio.sleep(POLL_SECONDS)
             continue
