--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/catalog/database_spec.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/catalog/database_spec.py
@@ -21,6 +21,7 @@
       latency_objective_seconds: The latency that an operation should not
         exceed.
       priority: Its priority; 0 is served first.
+      anonymous: Whether callers need no key of a client account.
     """
 
     name: str
@@ -30,3 +31,4 @@
     statement_timeout_seconds: float
     latency_objective_seconds: float
     priority: int
+    anonymous: bool = False
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/home_plan.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/home_plan.py
@@ -26,6 +26,9 @@
 # A region tolerates the loss or departure of one home. More homes only divide
 # the servers' slots into smaller shares that homes cannot lend to each other.
 HOMES_PER_REGION = 2
+# A VM that stands in for a home opens this many, so that homes and stand-ins
+# together never exceed a server's limit: a server resets what exceeds it.
+STAND_IN_CONNECTIONS = 1
 # Assumed until the other VMs are known: 15 to 21 VMs, and up to 6 added later.
 EXPECTED_VMS = 24
 
@@ -39,6 +42,8 @@
       per_region: The number of homes per region; 0 if every VM is a home.
       connections: The maximum number of connections from one home to one
         server.
+      stand_in_connections: The same for a VM that serves while a home cannot
+        be reached.
       homes: The number of homes in all regions together.
     """
 
@@ -46,6 +51,7 @@
     per_region: int
     connections: int
     homes: int
+    stand_in_connections: int
 
 
 def plan_homes(limit: int, vms: int, regions: int) -> HomePlan:
@@ -59,10 +65,14 @@
     share = limit // (vms or EXPECTED_VMS)
     if share >= MIN_CONNECTIONS or not vms:
         connections = min(MAX_CONNECTIONS, max(MIN_CONNECTIONS, share))
-        return HomePlan(True, 0, connections, vms or EXPECTED_VMS)
+        return HomePlan(True, 0, connections, vms or EXPECTED_VMS, connections)
     homes = max(1, regions) * HOMES_PER_REGION
-    connections = min(MAX_CONNECTIONS, max(1, limit // homes))
-    return HomePlan(False, HOMES_PER_REGION, connections, homes)
+    # As many VMs may stand in for homes, while these are still connected.
+    shared = limit - homes * STAND_IN_CONNECTIONS
+    connections = min(MAX_CONNECTIONS, max(1, shared // homes))
+    return HomePlan(
+        False, HOMES_PER_REGION, connections, homes, STAND_IN_CONNECTIONS
+    )
 
 
 def region_homes(
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/sessions/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/sessions/__init__.py
@@ -6,6 +6,7 @@
 from jackdawcrank_policy.sessions.setup_step import (
     PrepareStatement,
     ResetSession,
+    SetupPlan,
     SetupStep,
     SetValue,
 )
@@ -17,5 +18,6 @@
     "ResetSession",
     "SessionContext",
     "SetValue",
+    "SetupPlan",
     "SetupStep",
 ]
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/sessions/connection_context.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/sessions/connection_context.py
@@ -7,6 +7,7 @@
 from jackdawcrank_policy.sessions.setup_step import (
     PrepareStatement,
     ResetSession,
+    SetupPlan,
     SetupStep,
     SetValue,
 )
@@ -28,34 +29,54 @@
     Attributes:
       values: Session values by name, as set on the connection.
       names: The connection's name of each prepared statement.
+      failed: Whether a step was refused or not answered, so that what the
+        server holds is not known and the connection must be closed.
     """
 
     values: dict[str, str] = attrs.Factory(dict)
     names: dict[PreparedStatement, str] = attrs.Factory(dict)
+    failed: bool = False
 
     def plan_setup(
         self, session: SessionContext, statement: PreparedStatement | None
-    ) -> list[SetupStep]:
-        """Return the setup steps for a statement and record them as applied.
+    ) -> SetupPlan:
+        """Return the setup steps for a statement.
+
+        The context does not change until the steps are recorded.
 
         Args:
           session: The session whose statement is to run.
           statement: The prepared statement to execute, if any.
         """
         steps: list[SetupStep] = []
-        stale = self.values.keys() - session.values.keys()
-        if stale or len(self.names) >= MAX_PREPARED_PER_CONNECTION:
+        values, names = self.values, self.names
+        stale = values.keys() - session.values.keys()
+        if stale or len(names) >= MAX_PREPARED_PER_CONNECTION:
             steps.append(ResetSession())
-            self.values.clear()
-            self.names.clear()
+            values, names = {}, {}
         for name, value in session.values.items():
-            if self.values.get(name) != value:
+            if values.get(name) != value:
                 steps.append(SetValue(name, value))
-                self.values[name] = value
-        if statement is not None and statement not in self.names:
-            self.names[statement] = f"j{len(self.names)}"
-            steps.append(PrepareStatement(self.names[statement], statement))
-        return steps
+        if statement is None:
+            return SetupPlan(tuple(steps), "")
+        name = names.get(statement, f"j{len(names)}")
+        if statement not in names:
+            steps.append(PrepareStatement(name, statement))
+        return SetupPlan(tuple(steps), name)
+
+    def record(self, step: SetupStep) -> None:
+        """Record that the server has carried out a step.
+
+        Args:
+          step: The step.
+        """
+        if isinstance(step, ResetSession):
+            self.values.clear()
+            self.names.clear()
+        elif isinstance(step, SetValue):
+            self.values[step.name] = step.value
+        else:
+            self.names[step.statement] = step.name
 
     def count_differences(self, session: SessionContext) -> int:
         """Return the number of name-value pairs set on only one side.
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/sessions/setup_step.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/sessions/setup_step.py
@@ -37,3 +37,17 @@
 
 
 SetupStep = ResetSession | SetValue | PrepareStatement
+
+
+@attrs.frozen
+class SetupPlan:
+    """The steps before a statement.
+
+    Attributes:
+      steps: The steps, in order.
+      prepared_name: The connection's name of the statement to execute; empty
+        if it is not a prepared one.
+    """
+
+    steps: tuple[SetupStep, ...]
+    prepared_name: str
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/priority_wait_queue.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/priority_wait_queue.py
@@ -82,22 +82,32 @@
             entry.removed = True
             self.length -= 1
 
-    def pop(self, now: float) -> WaitEntry[T] | None:
-        """Remove and return the next entry that has not expired, or None.
+    def head(self, now: float) -> WaitEntry[T] | None:
+        """Return the entry that `pop` would return, without removing it.
 
         Args:
           now: The current time in seconds.
         """
         while self.heap:
-            entry = heapq.heappop(self.heap)
-            if entry.removed:
-                continue
-            entry.removed = True
-            self.length -= 1
-            if entry.deadline > now:
+            entry = self.heap[0]
+            if not entry.removed and entry.deadline > now:
                 return entry
+            heapq.heappop(self.heap)
+            self.cancel(entry)
         return None
 
+    def pop(self, now: float) -> WaitEntry[T] | None:
+        """Remove and return the next entry that has not expired, or None.
+
+        Args:
+          now: The current time in seconds.
+        """
+        entry = self.head(now)
+        if entry is not None:
+            heapq.heappop(self.heap)
+            self.cancel(entry)
+        return entry
+
     def clear(self) -> list[T]:
         """Remove all entries and return the items that were waiting."""
         items = [entry.item for entry in self.heap if not entry.removed]
--- a/packages/jackdawcrank-policy/tests/homes/test_home_plan.py
+++ b/packages/jackdawcrank-policy/tests/homes/test_home_plan.py
@@ -34,6 +34,15 @@
     assert plan.on_every_vm or plan.per_region >= HOMES_PER_REGION
 
 
+@pytest.mark.parametrize("limit", [53, 69, 105, 112, 289])
+def test_homes_and_their_stand_ins_stay_within_server_limit(limit: int) -> None:
+    # A server reset connections beyond its limit while VMs that could not
+    # reach a home used others in their place.
+    plan = plan_homes(limit, 133, 3)
+    per_pair = plan.connections + plan.stand_in_connections
+    assert per_pair * plan.homes <= limit
+
+
 def test_large_sites_have_more_connections_than_slots() -> None:
     for limit, vms, slots in ((105, 133, 6), (289, 106, 3)):
         assert plan_homes(limit, vms, 3).connections > 2 * slots
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/measurements.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/measurements.py
@@ -35,6 +35,7 @@
       events: Number of events by name.
       answers: Number of answers by database and outcome.
       store_calls: Number of calls to the store by operation, table and outcome.
+      account_operations: Number of operations by client account and outcome.
       seconds: Latency histograms by database, in milliseconds.
       wait_errors: Histograms of the errors of estimated waits, in
         milliseconds, by whether the wait was longer or shorter.
@@ -44,6 +45,7 @@
         self.events: dict[str, int] = {}
         self.answers: dict[tuple[str, str], int] = {}
         self.store_calls: dict[tuple[str, str, str], int] = {}
+        self.account_operations: dict[tuple[str, str], int] = {}
         self.seconds: dict[str, HdrHistogram] = {}
         self.wait_errors: dict[str, HdrHistogram] = {}
 
@@ -84,6 +86,16 @@
         key = (operation, table, "failed" if failed else "done")
         self.store_calls[key] = self.store_calls.get(key, 0) + 1
 
+    def account_operation(self, account: str, outcome: str) -> None:
+        """Count an operation of a client account.
+
+        Args:
+          account: The account; empty if the key is unknown.
+          outcome: `admitted`, `limited`, `unproven` or `unknown_key`.
+        """
+        key = (account, outcome)
+        self.account_operations[key] = self.account_operations.get(key, 0) + 1
+
     def waited(self, expected: float, actual: float) -> None:
         """Record the wait of a statement for its turn on a server.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
@@ -52,6 +52,8 @@
         transaction, or the open transaction, began.
       group: The database group at that time.
       busy: Whether a statement is running.
+      account: The client account of the caller; empty if it has none.
+      key_digest: The SHA-256 digest of the key that the caller sent.
       active_at: When the last statement ended, in seconds on the event loop's
         clock.
     """
@@ -69,6 +71,8 @@
     group: GroupRelay | None = None
     busy: bool = False
     active_at: float = 0.0
+    account: str = ""
+    key_digest: bytes = b""
 
     async def handle(self, request_id: str, statement: Statement) -> Reply:
         """Run a statement and return the complete reply.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
@@ -53,6 +53,19 @@
     """The wait limit passed, or would pass before the statement is sent."""
 
 
+@attrs.frozen
+class ConnectionRequest:
+    """A request that waits for a connection.
+
+    Attributes:
+      account: The client account that needs the connection; empty for none.
+      granted: Receives the connection, or why none was opened.
+    """
+
+    account: str
+    granted: asyncio.Future[OpenResult]
+
+
 @attrs.frozen
 class IdleConnection:
     """An idle connection.
@@ -118,15 +131,13 @@
         self.wait_estimator = WaitEstimator()
         self.overload_detector = OverloadDetector()
         self.in_use: dict[ServerConnection, float] = {}
-        self.queue: PriorityWaitQueue[asyncio.Future[OpenResult]] = (
-            PriorityWaitQueue()
-        )
+        self.queue: PriorityWaitQueue[ConnectionRequest] = PriorityWaitQueue()
         self.retired = False
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
 
     async def acquire(
-        self, context: SessionContext, limits: WaitLimits
+        self, context: SessionContext, limits: WaitLimits, account: str = ""
     ) -> OpenResult | WaitLimitExceeded:
         """Return a connection on which a statement may be sent.
 
@@ -137,12 +148,13 @@
             connection that differs least from them is preferred.
           limits: Priority and wait limits of the statement, in seconds on the
             loop's clock.
+          account: The client account of the statement; empty for none.
 
         Returns:
           The connection, why none could be opened, or that the wait limit was
           exceeded.
         """
-        granted = await self.connect(context, limits)
+        granted = await self.connect(context, limits, account)
         if isinstance(granted, (NotOpened, WaitLimitExceeded)):
             return granted
         # The connection is acquired before the limiter, since a statement that
@@ -155,14 +167,14 @@
         return WaitLimitExceeded()
 
     async def connect(
-        self, context: SessionContext, limits: WaitLimits
+        self, context: SessionContext, limits: WaitLimits, account: str
     ) -> OpenResult | WaitLimitExceeded:
         """Return an idle or new connection, or wait for one."""
         now = self.loop.time()
         deadline = self.overload_detector.wait_deadline(
             now, self.queue.length, limits
         )
-        connection = self.take_idle(context)
+        connection = self.take_idle(context, account)
         if connection is not None:
             return self.check_out(connection)
         ahead = self.queue.ahead_of(limits.priority)
@@ -170,7 +182,8 @@
         if self.count >= self.limit and now + wait >= deadline:
             return WaitLimitExceeded()
         granted: asyncio.Future[OpenResult] = self.loop.create_future()
-        waiter = self.queue.enqueue(limits.priority, deadline, granted)
+        request = ConnectionRequest(account, granted)
+        waiter = self.queue.enqueue(limits.priority, deadline, request)
         self.open_more()
         try:
             async with asyncio.timeout_at(deadline):
@@ -261,11 +274,20 @@
             self.count += 1
         return opened
 
-    def take_idle(self, context: SessionContext) -> ServerConnection | None:
-        """Return the idle connection that needs the least setup, or None."""
-        while self.idle:
+    def take_idle(
+        self, context: SessionContext, account: str
+    ) -> ServerConnection | None:
+        """Return an account's idle connection that needs the least setup."""
+        while True:
+            usable = [
+                index
+                for index, one in enumerate(self.idle)
+                if one.connection.account == account
+            ]
+            if not usable:
+                return None
             best = min(
-                range(len(self.idle)),
+                usable,
                 key=lambda index: (
                     self.idle[index].connection.context.count_differences(
                         context
@@ -277,7 +299,6 @@
             if not connection.closed:
                 return connection
             self.count -= 1
-        return None
 
     def take(self, index: int) -> ServerConnection:
         """Remove a connection from the idle ones and return it."""
@@ -310,16 +331,27 @@
             )
             self.discard(connection)
             return
-        if connection.closed or self.retired or self.count > self.limit:
+        if (
+            connection.closed
+            or connection.context.failed
+            or self.retired
+            or self.count > self.limit
+        ):
             self.discard(connection)
             return
         now = self.loop.time()
-        while (waiter := self.queue.pop(now)) is not None:
-            if not waiter.item.done():
-                waiter.item.set_result(connection)
+        while (waiter := self.queue.head(now)) is not None:
+            request = waiter.item
+            if request.account != connection.account:
+                break
+            self.queue.pop(now)
+            if not request.granted.done():
+                request.granted.set_result(connection)
                 return
         self.idle.append(IdleConnection(connection, now))
         connection.on_closed = functools.partial(self.idle_closed, connection)
+        if waiter is not None:
+            self.open_more()
 
     def discard(self, connection: ServerConnection) -> None:
         """Close a connection that cannot be reused.
@@ -339,25 +371,33 @@
         # A request with a new connection would only wait for the limiter.
         if not self.limiter.has_room():
             return
-        wanted = min(self.queue.length, MAX_OPENING)
-        while self.opening < wanted and self.count < self.limit:
-            self.start_opening()
+        waiter = self.queue.head(self.loop.time())
+        if waiter is None or self.opening >= MAX_OPENING:
+            return
+        if self.count >= self.limit and self.idle:
+            # It belongs to another account, or it would have been used.
+            self.take(0).close()
+            self.count -= 1
+        if self.count < self.limit:
+            self.start_opening(waiter.item.account)
 
-    def start_opening(self) -> None:
-        """Start to open one connection."""
+    def start_opening(self, account: str) -> None:
+        """Start to open one connection for an account."""
         self.count += 1
         self.opening += 1
-        task = self.loop.create_task(self.open_one())
+        task = self.loop.create_task(self.open_one(account))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def open_one(self) -> None:
-        """Open one connection and pass it to a waiting request."""
+    async def open_one(self, account: str) -> None:
+        """Open one connection for an account and pass it to a waiting request."""
         outcome: OpenResult = NotOpened(
             OpenFailure.REFUSED, "opening was cancelled"
         )
         try:
-            outcome = await self.opener.open(self.server, OPEN_TIMEOUT_SECONDS)
+            outcome = await self.opener.open(
+                self.server, OPEN_TIMEOUT_SECONDS, account
+            )
         finally:
             self.opening -= 1
             if isinstance(outcome, NotOpened):
@@ -396,8 +436,8 @@
         else:
             self.condition.failed(now)
         for waiting in self.queue.clear():
-            if not waiting.done():
-                waiting.set_result(outcome)
+            if not waiting.granted.done():
+                waiting.granted.set_result(outcome)
 
     def trim(self, keep: int) -> None:
         """Close idle connections beyond the limit or idle for too long.
@@ -429,5 +469,5 @@
             OpenFailure.WRONG_SERVER, "the server was removed"
         )
         for waiting in self.queue.clear():
-            if not waiting.done():
-                waiting.set_result(server_removed)
+            if not waiting.granted.done():
+                waiting.granted.set_result(server_removed)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -198,7 +198,10 @@
 
     def connection_limit(self) -> int:
         """Return the maximum number of connections to one server."""
-        return self.homes.plan(self.group).connections
+        plan = self.homes.plan(self.group)
+        if self.homes.is_home(self.group):
+            return plan.connections
+        return plan.stand_in_connections
 
     def update_primary(self) -> None:
         """Determine the primary from the servers' reports and answers."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
@@ -102,6 +102,7 @@
         session.context.values,
         encode_position(session.last_position),
         session.read_only,
+        session.account,
     ]
 
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
@@ -47,6 +47,7 @@
       context: The session values.
       last_position: The newest commit position returned to the caller.
       read_only: Whether the transaction is read-only.
+      account: The client account of the caller; empty if it has none.
       group: The database group, or None before the session is resolved.
     """
 
@@ -55,6 +56,7 @@
     context: SessionContext
     last_position: Position | None
     read_only: bool
+    account: str = ""
     group: GroupRelay | None = None
 
     def record_position(self, position: Position | None) -> None:
@@ -75,13 +77,15 @@
     Args:
       fields: The fields of the session.
     """
-    database, spec, values, position, read_only = fields
+    database, spec, values, position, read_only, *account = fields
     return ForwardedSession(
         database,
         decode_spec(database, spec),
         SessionContext(values),
         decode_position(position),
         read_only,
+        # A proxy of an earlier release knows no accounts.
+        *account,
     )
 
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -10,8 +10,8 @@
 from jackdawcrank.relay.connection_pool import ConnectionPool
 from jackdawcrank.relay.execution import (
     Execution,
-    forward_command,
-    setup_commands,
+    send_commands,
+    statement_commands,
 )
 from jackdawcrank.relay.refusal_backoff import refusal_backoff_seconds
 from jackdawcrank.relay.session_view import SessionView
@@ -82,8 +82,9 @@
         self.wrote = self.wrote or execution.writes
         sent_at = boot_seconds()
         start = self.loop.time()
-        commands = setup_commands(self.connection, session.context, execution)
-        commands.append(forward_command(self.connection, execution))
+        commands = statement_commands(
+            self.connection, session.context, execution
+        )
         reply = await self.send(commands, start + self.timeout_seconds)
         if isinstance(reply, NotSent):
             return self.not_admitted(execution.request_id, start)
@@ -99,6 +100,10 @@
                 outcome=reply.problem.value,
                 ms=round((self.loop.time() - start) * 1000),
             )
+        if reply.problem is Problem.UNKNOWN_NAME:
+            # The session prepared it; the connection lost it. Nothing ran.
+            self.drop()
+            return attrs.evolve(reply, problem=Problem.ROLLED_BACK)
         return reply
 
     async def send(
@@ -144,7 +149,7 @@
             return NotSent()
         self.running = True
         try:
-            future = self.connection.send(commands)[-1]
+            future = send_commands(self.connection, commands)[-1]
             return await await_result(future, deadline)
         finally:
             self.running = False
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -36,6 +36,7 @@
 from jackdawcrank.seams.declaration_decoder import DeclarationDecoder
 from jackdawcrank.seams.metadata_store import MetadataStore
 from jackdawcrank.seams.promotion_service import PromotionService
+from jackdawcrank.seams.replies import Problem, Reply
 from jackdawcrank.seams.server_connection import ConnectionOpener
 from jackdawcrank.timer import TimerService
 from jackdawcrank_policy.homes import Member
@@ -280,11 +281,14 @@
         await self.idle_transactions.start(self.timer)
         await self.succession.start(self.timer)
 
-    async def open_session(self, database: str) -> CallerSession | None:
-        """Return a new session, or None if the database is not declared.
+    async def open_session(
+        self, database: str, key_digest: bytes
+    ) -> CallerSession | Reply:
+        """Return a new session, or the reply that refuses it.
 
         Args:
           database: The name of the database that the caller sent.
+          key_digest: The SHA-256 digest of the key that the caller sent.
 
         Raises:
           TimeoutError: The declarations, or on a home the servers, were not
@@ -294,9 +298,16 @@
             await self.directory.ready.wait()
             while self.is_home() and not self.directory.servers_known:
                 await self.table_applied.wait()
-        if self.directory.resolve(database) is None:
-            return None
-        return CallerSession(database, self.directory, self.router, self.log)
+        found = self.directory.resolve(database)
+        if found is None:
+            return Reply(
+                problem=Problem.UNKNOWN_DATABASE,
+                detail=f"no database {database!r}",
+            )
+        session = CallerSession(database, self.directory, self.router, self.log)
+        session.key_digest = key_digest
+        session.account = self.directory.account_name(found[0], key_digest)
+        return session
 
     def readiness(self) -> bool:
         """Return whether this proxy is ready for new callers."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_settings.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_settings.py
@@ -3,6 +3,24 @@
 import attrs
 
 
+@attrs.frozen
+class AccountBounds:
+    """What is promised about client accounts.
+
+    Attributes:
+      revocation_seconds: The time after which no statement with a withdrawn
+        key may run on any VM; None if there is no such promise.
+      window_seconds: The span in which an account's operations are counted.
+      excess_share: The share by which the limit may be exceeded in a span.
+      slack: The operations by which it may be exceeded besides.
+    """
+
+    revocation_seconds: float | None = None
+    window_seconds: float = 5.0
+    excess_share: float = 0.0
+    slack: float = 0.0
+
+
 @attrs.frozen
 class RelaySettings:
     """The settings of one process.
@@ -20,6 +38,7 @@
       peer_port: The port on which other proxies connect.
       capacity: The number of CPU cores available to this VM.
       first_start: Whether the whole system starts for the first time.
+      accounts: The promises about client accounts.
     """
 
     vm: str
@@ -32,3 +51,4 @@
     peer_port: int
     capacity: float
     first_start: bool = False
+    accounts: AccountBounds = AccountBounds()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/session_view.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/session_view.py
@@ -20,6 +20,7 @@
       read_only: Whether the open transaction is read-only.
       spec: The declaration of the database, or None if it is not resolved.
       group: The database group, or None if it is not resolved.
+      account: The client account of the caller; empty if it has none.
     """
 
     database: str
@@ -28,6 +29,7 @@
     read_only: bool
     spec: DatabaseSpec | None
     group: "GroupRelay | None"
+    account: str
 
     def record_position(self, position: Position | None) -> None:
         """Advance the last position of this session.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -11,8 +11,8 @@
 from jackdawcrank.relay.connection_pool import ConnectionPool, WaitLimitExceeded
 from jackdawcrank.relay.execution import (
     Execution,
-    forward_command,
-    setup_commands,
+    send_commands,
+    statement_commands,
 )
 from jackdawcrank.relay.group_relay import GroupRelay
 from jackdawcrank.relay.open_transaction import (
@@ -181,11 +181,10 @@
         if acquired is None:
             return None
         pool, connection = acquired
-        batch = setup_commands(connection, session.context, execution)
-        batch.append(forward_command(connection, execution))
+        batch = statement_commands(connection, session.context, execution)
         start = self.loop.time()
         sent_at = boot_seconds()
-        future = connection.send(batch)[-1]
+        future = send_commands(connection, batch)[-1]
         reply = await await_result(future, attempts.deadline)
         if reply is None:
             silent = not connection.closed
@@ -229,11 +228,11 @@
         connection = await self.acquire_connection(pool, session, attempts)
         if connection is None:
             return None
-        batch = setup_commands(connection, session.context, execution)
-        batch.append(forward_command(connection, execution, needed))
-        reply = await self.read_reply(
-            group, pool, connection, connection.send(batch)[-1], attempts
+        batch = statement_commands(
+            connection, session.context, execution, needed
         )
+        future = send_commands(connection, batch)[-1]
+        reply = await self.read_reply(group, pool, connection, future, attempts)
         if reply is None:
             self.return_connection(pool, connection, broken=True)
             return None
@@ -370,20 +369,22 @@
         if acquired is None:
             return None
         pool, connection = acquired
-        batch = setup_commands(connection, session.context, execution)
-        opening = len(batch)
-        batch.append(commands.BeginTransaction(read_only=False))
-        batch.append(forward_command(connection, execution))
+        batch = statement_commands(
+            connection,
+            session.context,
+            execution,
+            opening=commands.BeginTransaction(read_only=False),
+        )
         batch.append(commands.RollbackTransaction())
         sent_at = boot_seconds()
-        futures = connection.send(batch)
+        futures = send_commands(connection, batch)
         reply = await self.read_reply(
             group, pool, connection, futures[-2], attempts
         )
         if reply is None:
             self.return_connection(pool, connection, broken=True)
             return None
-        opened = futures[opening].result()
+        opened = futures[-3].result()
         pool.condition.position_seen(reply.position)
         if reply.problem is Problem.UNKNOWN_NAME:
             self.return_connection(pool, connection, broken=True)
@@ -479,13 +480,13 @@
             if read_connection is None:
                 return None
             connection = read_connection
-        batch = setup_commands(connection, session.context, execution)
+        batch = statement_commands(connection, session.context, None)
         batch.append(
             commands.BeginTransaction(read_only=not on_primary, needed=needed)
         )
         start = self.loop.time()
         limit = self.attempt_seconds(pool, attempts, start)
-        future = connection.send(batch)[-1]
+        future = send_commands(connection, batch)[-1]
         reply = await await_reply(future, min(attempts.deadline, start + limit))
         if reply is None:
             self.record_no_answer(
@@ -523,7 +524,9 @@
         spec, group = resolved(session)
         attempts.server = pool.server.server_id
         granted = await pool.acquire(
-            session.context, self.wait_limits(spec, pool, attempts)
+            session.context,
+            self.wait_limits(spec, pool, attempts),
+            session.account,
         )
         if isinstance(granted, WaitLimitExceeded):
             attempts.reason = OpenFailure.FULL.value
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/seams/caller_frontend.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/caller_frontend.py
@@ -3,16 +3,20 @@
 import typing
 
 from jackdawcrank.relay.caller_session import CallerSession
+from jackdawcrank.seams.replies import Reply
 
 
 class SessionFactory(typing.Protocol):
     """Creates sessions for connected callers."""
 
-    async def open_session(self, database: str) -> CallerSession | None:
-        """Return a new session; None if the database is not declared.
+    async def open_session(
+        self, database: str, key_digest: bytes
+    ) -> CallerSession | Reply:
+        """Return a new session, or the reply that refuses it.
 
         Args:
           database: The database that the caller asked for.
+          key_digest: The SHA-256 digest of the caller's key.
 
         Raises:
           TimeoutError: The configuration has not been read yet.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/seams/metadata_store.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/metadata_store.py
@@ -51,12 +51,15 @@
       removed: The keys of rows that were removed.
       revision: The revision from which to continue.
       epoch: The store's epoch.
+      store_seconds: The store's monotonic clock when no later change existed,
+        in seconds; None if the store does not tell it.
     """
 
     rows: tuple[StoredRow, ...]
     removed: tuple[str, ...]
     revision: int
     epoch: int = 0
+    store_seconds: float | None = None
 
 
 @attrs.frozen
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/seams/replies.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/replies.py
@@ -31,6 +31,8 @@
     IN_DOUBT = "in_doubt"
     MALFORMED = "malformed"
     UNKNOWN_DATABASE = "unknown_database"
+    UNKNOWN_KEY = "unknown_key"
+    """The caller's key belongs to no client account, or was withdrawn."""
 
 
 NOT_RUN = frozenset(
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/seams/server_connection.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/server_connection.py
@@ -53,6 +53,8 @@
       state: The transaction state, as of the server's last reply.
       first_position: The log position that the server reported on connecting.
       on_closed: Called once after the connection has been closed.
+      account: The client account whose statements it may run; empty for the
+        statements of callers without an account.
     """
 
     context: ConnectionContext
@@ -60,6 +62,7 @@
     state: SessionState
     first_position: Position | None
     on_closed: collections.abc.Callable[[], None] | None
+    account: str
 
     def send(
         self, commands: collections.abc.Sequence[Command]
@@ -88,11 +91,13 @@
     """Opens connections to backend servers."""
 
     async def open(
-        self, server: ListedServer, timeout_seconds: float
+        self, server: ListedServer, timeout_seconds: float, account: str = ""
     ) -> ServerConnection | NotOpened:
         """Connect to a server and verify its identity.
 
         Args:
           server: The server.
           timeout_seconds: The time limit for connecting and verifying.
+          account: The client account that will use the connection; empty for
+            none.
         """
--- a/packages/jackdawcrank-proxy/tests/relay/test_open_transaction.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_open_transaction.py
@@ -12,7 +12,12 @@
 from jackdawcrank.relay.session_view import SessionView
 from jackdawcrank.seams.commands import RollbackTransaction
 from jackdawcrank.seams.replies import Problem, Reply, SessionState
-from jackdawcrank_policy.sessions import SessionContext
+from jackdawcrank_policy.sessions import (
+    ConnectionContext,
+    PreparedStatement,
+    SessionContext,
+)
+from jackdawcrank_policy.succession import PrimarySuspicion
 
 from .conftest import FakeConnection, FakeOpener, run_ready_tasks
 
@@ -22,6 +27,7 @@
     log: DecisionLog
     name: str = "plots"
     unanswered: int = 0
+    suspicion: PrimarySuspicion = attrs.Factory(PrimarySuspicion)
 
     def record_unanswered(self, *_: object) -> None:
         self.unanswered += 1
@@ -98,6 +104,77 @@
     await asyncio.sleep(0)
 
 
+READ_SHAPE = PreparedStatement(False, "q1")
+PREPARED_SESSION = typing.cast(
+    SessionView,
+    FakeSession(context=SessionContext({"zone": "north"}, {"s1": READ_SHAPE})),
+)
+EXECUTE = Execution("r1", False, "plot1", READ_SHAPE)
+
+
+async def test_setup_that_was_not_sent_is_not_recorded(
+    transaction: OpenTransaction,
+) -> None:
+    # The next session on the connection would execute an unknown name, or run
+    # under another session's values.
+    await transaction.run(PREPARED_SESSION, EXECUTE)
+    assert is_rolled_back(transaction)
+    assert transaction.connection.context == ConnectionContext()
+
+
+@pytest.mark.parametrize("confirmed", [0, 1, 2, 3])
+@pytest.mark.parametrize("failure", [Problem.BUSY, Problem.FAILED, None])
+async def test_only_confirmed_setup_is_recorded(
+    transaction: OpenTransaction,
+    pool: ConnectionPool,
+    confirmed: int,
+    failure: Problem | None,
+) -> None:
+    # Each command of the batch is answered, refused or not answered.
+    pool.limiter.in_flight_count = 0
+    running = asyncio.create_task(transaction.run(PREPARED_SESSION, EXECUTE))
+    await run_ready_tasks()
+    connection = typing.cast(FakeConnection, transaction.connection)
+    replies = [future for _, future in connection.sent]
+    assert len(replies) == 3
+    for reply in replies[:confirmed]:
+        reply.set_result(Reply(signature="x"))
+    if failure is not None:
+        for reply in replies[confirmed:]:
+            reply.set_result(Reply(problem=failure))
+    await running
+    context = connection.context
+    assert context.values == ({"zone": "north"} if confirmed > 0 else {})
+    assert context.names == ({READ_SHAPE: "j0"} if confirmed > 1 else {})
+    if confirmed < 2 and failure is not None:
+        assert context.failed
+
+
+async def test_connection_whose_setup_failed_is_closed(
+    pool: ConnectionPool,
+) -> None:
+    # What the server holds is not known after a refused step.
+    connection = FakeConnection()
+    connection.context.failed = True
+    pool.count = 1
+    pool.check_out(connection)
+    pool.release(connection)
+    assert connection.closed and pool.idle == []
+
+
+async def test_unknown_name_in_a_transaction_is_a_rollback(
+    transaction: OpenTransaction, pool: ConnectionPool
+) -> None:
+    # The caller prepared the statement, so it must not be told otherwise.
+    pool.limiter.in_flight_count = 0
+    running = asyncio.create_task(transaction.run(PREPARED_SESSION, EXECUTE))
+    await run_ready_tasks()
+    connection = typing.cast(FakeConnection, transaction.connection)
+    for _, reply in connection.sent:
+        reply.set_result(Reply(problem=Problem.UNKNOWN_NAME))
+    assert (await running).problem is Problem.ROLLED_BACK
+
+
 def is_rolled_back(transaction: OpenTransaction) -> bool:
     connection = typing.cast(FakeConnection, transaction.connection)
     return [command for command, _ in connection.sent] == [
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_caller.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_caller.py
@@ -52,19 +52,22 @@
         self.number = 0
 
     @classmethod
-    async def connect(cls, port: int, database: str) -> "LineCaller":
+    async def connect(
+        cls, port: int, database: str, key: str = "caller"
+    ) -> "LineCaller":
         """Connect to a database through a proxy on the local host.
 
         Args:
           port: Port on which the proxy listens.
           database: Database name.
+          key: Key of the caller's client account.
 
         Raises:
           TimeoutError: The proxy did not respond within CONNECT_SECONDS.
         """
         async with asyncio.timeout(CONNECT_SECONDS):
             caller = cls(*await asyncio.open_connection("127.0.0.1", port))
-            caller.writer.write(f"CONNECT {database} caller\r\n".encode())
+            caller.writer.write(f"CONNECT {database} {key}\r\n".encode())
             caller.greeting = await caller.line()
         return caller
 
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_server.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_server.py
@@ -37,6 +37,7 @@
       connection: Connection number.
       transaction: Transaction number; 0 outside a transaction.
       values: Session variables of the connection.
+      account: Client name that was sent when the connection was opened.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     connection: int
     transaction: int
     values: dict[str, str]
+    account: str = ""
 
 
 @attrs.define(eq=False)
@@ -59,6 +61,7 @@
       pending: Uncommitted writes.
       values: Session variables.
       prepared_statements: Kind and text of prepared statements by name.
+      account: Client name that was sent when the connection was opened.
     """
 
     number: int
@@ -68,6 +71,7 @@
     pending: list[tuple[str, str]] = attrs.Factory(list)
     values: dict[str, str] = attrs.Factory(dict)
     prepared_statements: dict[str, tuple[str, str]] = attrs.Factory(dict)
+    account: str = ""
 
 
 class GroupView(typing.Protocol):
@@ -212,7 +216,7 @@
         if refusal:
             writer.write(f"ERROR {refusal}\r\n".encode())
             return
-        session = Session(next(self.connection_numbers))
+        session = Session(next(self.connection_numbers), account=greeting[2])
         self.answer(writer, session, [])
         while True:
             line = (await reader.readuntil(b"\r\n")).decode().rstrip("\r\n")
@@ -301,6 +305,7 @@
                 session.number,
                 session.transaction,
                 dict(session.values),
+                session.account,
             )
         )
         if word == "READ":
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
@@ -32,6 +32,8 @@
       store: Metadata store.
       version: Version of the latest configuration.
       connections: Connection limit per server.
+      accounts: Client accounts in the configuration's form; None declares none.
+      account_bounds: Lines of the settings about client accounts.
       removed_databases: Databases left out of the configuration.
       address_ports: Ports to register for servers instead of their own, by
         server id.
@@ -49,6 +51,8 @@
         self.timeout_ms = 1_000
         self.idle_ms = 3_000
         self.connections = 72
+        self.accounts: list[dict[str, object]] | None = None
+        self.account_bounds: list[str] = []
         self.removed_databases: set[str] = set()
         self.address_ports: dict[str, int] = {}
         self.lose_orders = 0
@@ -155,6 +159,8 @@
             "services": services,
             "limits": {"txIdleMs": self.idle_ms},
         }
+        if self.accounts is not None:
+            body["tenants"] = self.accounts
         self.store.put("op", "config", json.dumps(body).encode())
 
     async def promotion(self, request: web.Request) -> web.Response:
@@ -209,6 +215,7 @@
             "drainMs = 7000",
             "graceS = 2",
             "configApplyMs = 3000",
+            *self.account_bounds,
             "[platform]",
             f'address = "127.0.0.1:{self.store.port}"',
             "[cloudApi]",
