--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/metric_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/metric_spec.py
@@ -27,7 +27,18 @@
     "jackdawcrank_store_calls_total",
     "calls to the metadata store, by operation, table and outcome",
 )
-COUNTERS = (EVENTS_TOTAL, ANSWERS_TOTAL, STORE_CALLS_TOTAL)
+ACCOUNT_OPERATIONS_TOTAL = MetricSpec(
+    "jackdawcrank_account_operations_total",
+    "operations by client account and outcome: `admitted`, `limited`, "
+    "`unproven` or `unknown_key`; the 20 accounts with most operations by "
+    "name, the rest under `others`, unknown keys under an empty name",
+)
+COUNTERS = (
+    EVENTS_TOTAL,
+    ANSWERS_TOTAL,
+    STORE_CALLS_TOTAL,
+    ACCOUNT_OPERATIONS_TOTAL,
+)
 ANSWER_SECONDS = MetricSpec(
     "jackdawcrank_answer_seconds",
     "seconds from a statement to its answer, by database",
