--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -119,6 +119,15 @@
         "a stored configuration cannot be used; the last one stays",
         {"revision": "the store's version of it", "detail": "why"},
     ),
+    EventSpec(
+        "account_unreadable",
+        "a declaration of a client account, or a key of it, cannot be used; the "
+        "rest of the configuration is in force; at most 20 lines for each",
+        {
+            "account": "the account; empty if the entry has no usable name",
+            "detail": "why, without any key",
+        },
+    ),
     EventSpec(
         "report_unreadable",
         "a server's report cannot be used; it names no server",
