--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/cause.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/cause.py
@@ -34,6 +34,9 @@
         return f"It was answered in {last.text('ms')} ms."
     if last.event == "idle_transaction_ended":
         return "Its caller rested in a transaction for too long."
+    refusal = account_refusal(chain)
+    if refusal is not None:
+        return explain_account_refusal(refusal)
     if last.event in ("commit_in_doubt", "transaction_lost"):
         return explain_transaction_failure(chain, last)
     if outcome == "in_doubt":
@@ -41,6 +44,41 @@
     return explain_refusal(chain, last)
 
 
+def account_refusal(chain: Chain) -> LogLine | None:
+    """Return the last refusal for the sake of the client account, if any.
+
+    A statement that was sent afterwards has a cause of its own.
+    """
+    for line in reversed(chain.request_lines):
+        if line.event in ("account_limited", "key_refused"):
+            return line
+        if line.text("server"):
+            return None
+    return None
+
+
+def explain_account_refusal(line: LogLine) -> str:
+    """Return why an operation was refused for the sake of its account."""
+    account = line.text("account") or "-"
+    if line.event == "account_limited":
+        return (
+            "It was refused, and nothing ran: over the account's limit "
+            f"({account}: {line.text('rate')} operations/s, burst "
+            f"{line.text('burst')}; counted by {line.text('holder') or '-'}; "
+            f"room after {line.text('retry_after_ms')} ms)."
+        )
+    if line.text("reason") == "unproven":
+        return (
+            "It was refused, and nothing is kept: the age of the keys could "
+            f"not be proven ({line.vm}: {line.text('age') or '-'} s)."
+        )
+    return (
+        "It was refused, and nothing is kept: the account's key is unknown or "
+        f"withdrawn (account {account}, key {line.text('key')}, "
+        f"{line.text('reason')})."
+    )
+
+
 def explain_transaction_failure(chain: Chain, last: LogLine) -> str:
     """Return why a statement in a transaction received no answer."""
     how = (
--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/chain.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/chain.py
@@ -11,11 +11,15 @@
 LOOK_BACK_SECONDS = 7.0
 CONTEXT_EVENTS = frozenset(
     {
+        "account_counting",
+        "account_unreadable",
         "claim_failed",
         "configuration_in_force",
         "connection_failed",
         "hand_over_undone",
         "history_gone",
+        "keys_proven",
+        "keys_unproven",
         "leaving",
         "lines_dropped",
         "no_successor",
@@ -75,6 +79,7 @@
     if not request_lines:
         return Chain(request, (), ())
     last = request_lines[-1]
+    accounts = {line.text("account") for line in request_lines} - {""}
     vms = {line.vm for line in request_lines}
     groups = {line.text("group") for line in request_lines} - {""}
     servers = {line.text("server") for line in request_lines} - {""}
@@ -88,20 +93,26 @@
         for line in all_lines
         if line.event in CONTEXT_EVENTS
         and last.at - LOOK_BACK_SECONDS <= line.at <= last.at
-        and is_relevant(line, vms, groups)
+        and is_relevant(line, vms, groups, accounts)
     ]
     context_lines.sort(key=lambda line: line.at)
     return Chain(request, tuple(request_lines), tuple(context_lines))
 
 
-def is_relevant(line: LogLine, vms: set[str], groups: set[str]) -> bool:
+def is_relevant(
+    line: LogLine, vms: set[str], groups: set[str], accounts: set[str]
+) -> bool:
     """Return whether a context event concerns a request.
 
     Args:
       line: The log line of the event.
       vms: The VMs whose processes handled the request.
       groups: The database groups of the request.
+      accounts: The client accounts of the request.
     """
+    if "account" in line.fields:
+        # Another VM may count the account.
+        return line.text("account") in accounts
     group = line.text("group")
     if not group:
         return line.vm in vms
--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/main.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/main.py
@@ -5,6 +5,7 @@
 
 import click
 
+from jackdawcrank_cli.commands.accounts import accounts
 from jackdawcrank_cli.commands.actions import drain, promote, requests
 from jackdawcrank_cli.commands.apply import apply
 from jackdawcrank_cli.commands.delete import delete
@@ -34,6 +35,7 @@
     timeline,
     explain,
     losses,
+    accounts,
     settings,
 )
 
@@ -61,7 +63,7 @@
 
 for command in COMMANDS:
     main.add_command(command)
-    if command not in (explain, losses, settings):
+    if command not in (explain, losses, accounts, settings):
         command.params.append(output_option())
 
 
--- a/packages/jackdawcrank-cli/tests/explain/test_explain.py
+++ b/packages/jackdawcrank-cli/tests/explain/test_explain.py
@@ -24,7 +24,10 @@
     assert [path.stem for path in LOGS] == [
         "in-doubt",
         "no-primary",
+        "over-limit",
         "overload",
+        "unproven-keys",
+        "withdrawn-key",
     ]
 
 
@@ -68,3 +71,12 @@
 def test_cause_states_reason(fields: dict[str, object], expected: str) -> None:
     line = LogLine(1.0, "a", "statement", {"request": "r", **fields})
     assert expected in cause(find_chain([line], "r"))
+
+
+def test_statement_sent_after_a_refusal_has_its_own_cause() -> None:
+    # A caller that repeats a request id would be told of the first refusal.
+    limited = LogLine(1.0, "a", "account_limited", {"request": "r"})
+    fields = {"request": "r", "outcome": "busy", "reason": "full"}
+    sent = LogLine(2.0, "a", "statement", fields | {"server": "s1"})
+    assert "over the account's limit" in cause(find_chain([limited], "r"))
+    assert "connections" in cause(find_chain([limited, sent], "r"))
