--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_server.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 import typing
 from collections.abc import Callable
 
@@ -38,6 +39,7 @@
       transaction: Transaction number; 0 outside a transaction.
       values: Session variables of the connection.
       account: Client name that was sent when the connection was opened.
+      at: Time of the run on the monotonic clock, in seconds.
     """
 
     request_id: str
@@ -46,6 +48,7 @@
     transaction: int
     values: dict[str, str]
     account: str = ""
+    at: float = attrs.field(factory=time.monotonic, eq=False)
 
 
 @attrs.define(eq=False)
--- a/soak/fault_soak/callers.py
+++ b/soak/fault_soak/callers.py
@@ -3,14 +3,24 @@
 import asyncio
 import itertools
 import random
+import time
 
 import attrs
 
+from fault_soak.accounts import SentStatement, SoakAccounts
 from fault_soak.world import GROUP, SoakEnvironment
 from jackdawcrank_standins.users_platform import LineAnswer, LineCaller
 
 NOT_APPLIED_CODES = frozenset(
-    {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD"}
+    {
+        "ABORTED",
+        "BUSY",
+        "LAGGING",
+        "MISROUTED",
+        "OVERLOAD",
+        "READONLY",
+        "UNAUTH",
+    }
 )
 OPERATION_INTERVAL_SECONDS = 0.02
 
@@ -26,6 +36,7 @@
         neither must be stored.
       broken: Descriptions of violated guarantees.
       answers: Number of answers by code; successful ones under `done`.
+      sent: Statements of callers with an account, by request id and text.
     """
 
     acknowledged: dict[str, str] = attrs.Factory(dict)
@@ -33,6 +44,7 @@
     transactions: list[tuple[str, str]] = attrs.Factory(list)
     broken: list[str] = attrs.Factory(list)
     answers: dict[str, int] = attrs.Factory(dict)
+    sent: dict[tuple[str, str], SentStatement] = attrs.Factory(dict)
 
 
 class Caller:
@@ -48,8 +60,14 @@
         environment: SoakEnvironment,
         history: CallHistory,
         rng: random.Random,
+        accounts: SoakAccounts | None = None,
+        account: str = "",
     ) -> None:
         self.name = name
+        self.accounts = accounts
+        self.account = account
+        self.key = "caller"
+        self.pause_seconds = OPERATION_INTERVAL_SECONDS
         self.environment = environment
         self.history = history
         self.rng = rng
@@ -66,7 +84,7 @@
             except (OSError, TimeoutError):
                 # The connection was lost or the answer timed out.
                 self.drop()
-            await asyncio.sleep(OPERATION_INTERVAL_SECONDS)
+            await asyncio.sleep(self.pause_seconds)
 
     def drop(self) -> None:
         """Abort the connection and forget the writes of its session."""
@@ -81,7 +99,11 @@
             kind = self.rng.choice(["primary", "read_your_writes"])
             self.database = f"{GROUP}-{kind}"
             proxy = self.rng.choice(self.environment.proxies)
-            session = await LineCaller.connect(proxy.port, self.database)
+            if self.accounts:
+                self.key = self.accounts.choose_key(self.account, self.rng)
+            session = await LineCaller.connect(
+                proxy.port, self.database, self.key
+            )
             if not session.greeting.startswith("READY"):
                 session.writer.transport.abort()
                 return
@@ -100,10 +122,20 @@
         code = answer.code or "done"
         self.history.answers[code] = self.history.answers.get(code, 0) + 1
 
+    async def ask(
+        self, session: LineCaller, text: str, request_id: str
+    ) -> LineAnswer:
+        """Send a statement, record when, and return the answer."""
+        if self.accounts:
+            self.history.sent[request_id, text] = SentStatement(
+                self.account, self.key, time.monotonic()
+            )
+        return await session.ask(text, request_id)
+
     async def write(self, session: LineCaller) -> None:
         """Write a new item once and record the answer."""
         item = self.next_item()
-        answer = await session.ask(f"WRITE {item} v-{item}", f"w-{item}")
+        answer = await self.ask(session, f"WRITE {item} v-{item}", f"w-{item}")
         self.count(answer)
         if not answer.code:
             if not answer.signature:
@@ -125,7 +157,9 @@
         item = self.rng.choice(list(readable_items))
         expected = readable_items[item]
         number = next(self.sequence_numbers)
-        answer = await session.ask(f"READ {item}", f"r-{self.name}-{number}")
+        answer = await self.ask(
+            session, f"READ {item}", f"r-{self.name}-{number}"
+        )
         self.count(answer)
         if not answer.code and answer.rows != [expected]:
             self.history.broken.append(
@@ -140,14 +174,14 @@
             f"WRITE {first_item} v-{first_item}",
             f"WRITE {second_item} v-{second_item}",
         ):
-            answer = await session.ask(text, f"t-{first_item}")
+            answer = await self.ask(session, text, f"t-{first_item}")
             if answer.code:
                 self.count(answer)
-                await session.ask("ROLLBACK", f"t-{first_item}")
+                await self.ask(session, "ROLLBACK", f"t-{first_item}")
                 self.history.refused |= {first_item, second_item}
                 return
         self.history.transactions.append((first_item, second_item))
-        answer = await session.ask("COMMIT", f"t-{first_item}")
+        answer = await self.ask(session, "COMMIT", f"t-{first_item}")
         self.count(answer)
         if not answer.code:
             self.history.acknowledged |= {
--- a/soak/fault_soak/run.py
+++ b/soak/fault_soak/run.py
@@ -1,6 +1,7 @@
 """Runs the fault soak: `python -m fault_soak.run --seeds 1-50 --seconds 20`."""
 
 import asyncio
+import collections
 import pathlib
 import random
 import signal
@@ -10,6 +11,8 @@
 import attrs
 import click
 
+from fault_soak.account_faults import AccountFaults
+from fault_soak.accounts import SoakAccounts, check_accounts
 from fault_soak.cable import LinkFault
 from fault_soak.callers import Caller, CallHistory
 from fault_soak.faults import RandomFaults
@@ -41,7 +44,11 @@
 
 
 async def soak(
-    seed: int, seconds: float, proxies: int, callers: int
+    seed: int,
+    seconds: float,
+    proxies: int,
+    callers: int,
+    with_accounts: bool = False,
 ) -> SoakResult:
     """Run the soak with one seed and check the recorded history.
 
@@ -50,28 +57,50 @@
       seconds: Duration of fault injection, in seconds.
       proxies: Number of proxy processes.
       callers: Number of concurrent callers.
+      with_accounts: Whether callers belong to client accounts, whose keys are
+        withdrawn and one of which sends beyond its limit.
     """
     rng = random.Random(seed)
     run_directory = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     environment = SoakEnvironment(run_directory, proxies, rng)
     history = CallHistory()
     faults = RandomFaults(environment)
+    accounts = SoakAccounts() if with_accounts else None
+    fault_series: list[RandomFaults | AccountFaults] = [faults]
+    if accounts:
+        accounts.declare(environment.platform)
+        account_rng = random.Random(f"{seed}-accounts")
+        fault_series.append(
+            AccountFaults(environment, history, accounts, account_rng)
+        )
     try:
         await environment.start()
         caller_tasks = [
             asyncio.create_task(
                 Caller(
-                    f"c{n}", environment, history, random.Random(f"{seed}-{n}")
+                    f"c{n}",
+                    environment,
+                    history,
+                    random.Random(f"{seed}-{n}"),
+                    accounts,
+                    accounts.account_of_caller(n) if accounts else "",
                 ).run()
             )
             for n in range(callers)
         ]
-        injection = asyncio.create_task(faults.run())
+        injections = [asyncio.create_task(one.run()) for one in fault_series]
         await asyncio.sleep(seconds)
-        await stop([injection])
+        await stop(injections)
         await end_faults_and_recover(environment)
         await stop(caller_tasks)
         check_history(environment, history)
+        if accounts:
+            servers = environment.platform.groups[GROUP].servers
+            history.broken += check_accounts(
+                accounts,
+                history.sent,
+                {name: server.runs for name, server in servers.items()},
+            )
     finally:
         await environment.close()
     return SoakResult(
@@ -79,7 +108,7 @@
         tuple(history.broken),
         history.answers,
         environment.platform.groups[GROUP].term - 1,
-        tuple(faults.injected),
+        tuple(fault for one in fault_series for fault in one.injected),
         run_directory,
     )
 
@@ -163,8 +192,14 @@
 @click.option("--proxies", default=4, help="Proxy processes.")
 @click.option("--callers", default=8, help="Callers at once.")
 @click.option("--jobs", default=1, help="Seeds at once.")
+@click.option("--accounts", is_flag=True, help="Callers belong to accounts.")
 def main(
-    seeds: str, seconds: float, proxies: int, callers: int, jobs: int
+    seeds: str,
+    seconds: float,
+    proxies: int,
+    callers: int,
+    jobs: int,
+    accounts: bool,
 ) -> None:
     """Run the seeds and print one result per line; exit 1 on any violation."""
 
@@ -175,13 +210,18 @@
         async def run_seed(seed: int) -> None:
             nonlocal failed_seeds
             async with concurrency_limit:
-                result = await soak(seed, seconds, proxies, callers)
+                result = await soak(seed, seconds, proxies, callers, accounts)
             failed_seeds += bool(result.broken)
             status = "BROKEN" if result.broken else "kept"
             click.echo(
                 f"seed {seed}: {status}; answers {result.answers}; "
                 f"promotions {result.promotions}; logs {result.run_directory}"
             )
+            kinds = collections.Counter(
+                violation.partition(":")[0] for violation in result.broken
+            )
+            for kind, count in kinds.items():
+                click.echo(f"  {count} violations of {kind}")
             for violation in result.broken[:5]:
                 click.echo(f"  {violation}")
 
