--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/chain.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/explain/chain.py
@@ -36,6 +36,8 @@
         "successor_chosen",
     }
 )
+# Context events that concern one client account.
+ACCOUNT_EVENTS = frozenset({"account_counting", "account_unreadable"})
 
 
 @attrs.frozen
@@ -110,7 +112,7 @@
       groups: The database groups of the request.
       accounts: The client accounts of the request.
     """
-    if "account" in line.fields:
+    if line.event in ACCOUNT_EVENTS:
         # Another VM may count the account.
         return line.text("account") in accounts
     group = line.text("group")
