--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/__init__.py
@@ -5,6 +5,21 @@
     ServerCandidate,
     choose_server,
 )
+from jackdawcrank_policy.placement.outcome_health import (
+    HealthChange,
+    OutcomeHealth,
+    ServerEjected,
+    ServerReadmitted,
+)
 from jackdawcrank_policy.placement.server_condition import ServerCondition
 
-__all__ = ["Distance", "ServerCandidate", "ServerCondition", "choose_server"]
+__all__ = [
+    "Distance",
+    "HealthChange",
+    "OutcomeHealth",
+    "ServerCandidate",
+    "ServerCondition",
+    "ServerEjected",
+    "ServerReadmitted",
+    "choose_server",
+]
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/choose_server.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/choose_server.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from jackdawcrank_policy.placement.outcome_health import OutcomeHealth
 from jackdawcrank_policy.placement.server_condition import ServerCondition
 from jackdawcrank_policy.values.position import Position
 
@@ -60,6 +61,7 @@
     now: float,
     needed: Position | None,
     primary: str | None,
+    health: OutcomeHealth | None = None,
 ) -> str | None:
     """Return the server that is expected to answer first, or None.
 
@@ -69,6 +71,7 @@
       needed: The position that a replica must have; None if there is none.
       primary: The candidate that is the primary and whose position is not
         checked, if any.
+      health: The health of the group's servers; None if it is not considered.
     """
     available = [
         candidate
@@ -81,6 +84,9 @@
         if candidate.server_id == primary
         or has_position(candidate, now, needed)
     ]
+    if health is not None:
+        withheld = health.withheld([one.server_id for one in eligible], now)
+        eligible = [one for one in eligible if one.server_id not in withheld]
     if not eligible:
         return None
     return min(
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -321,6 +321,22 @@
         "a VM's row cannot be read; the VM is left out",
         {"key": "the row", "detail": "why"},
     ),
+    EventSpec(
+        "server_ejected",
+        "a server failed reads that others answered; it gets none for a pause",
+        {
+            **GROUP,
+            **SERVER,
+            "failures": "failed reads among the counted ones",
+            "answers": "reads counted, at most the last 20",
+            "pause": "length of the pause in seconds",
+        },
+    ),
+    EventSpec(
+        "server_readmitted",
+        "two reads in a row were answered by an ejected server",
+        GROUP | SERVER,
+    ),
     EventSpec(
         "home_unreachable",
         "no stream to a home could be opened",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -17,7 +17,10 @@
 from jackdawcrank_policy.catalog import ListedServer, ServedGroup
 from jackdawcrank_policy.placement import (
     Distance,
+    HealthChange,
+    OutcomeHealth,
     ServerCandidate,
+    ServerEjected,
     choose_server,
 )
 from jackdawcrank_policy.succession import (
@@ -85,6 +88,7 @@
       pools: The connection pool of each server, by server id.
       declared_version: Version of the configuration in force.
       watermarks: Positions that prove how fresh a replica's data is.
+      health: Health of the servers by the outcomes of reads.
       control: Sends control commands to the group's servers.
       refreshing: The task that asks the primary for a watermark, or None.
       suspicion: Evidence that the current primary has failed.
@@ -124,6 +128,7 @@
         self.pools: dict[str, ConnectionPool] = {}
         self.declared_version = 0
         self.watermarks = WatermarkHistory()
+        self.health = OutcomeHealth()
         self.control = ControlCommands(self)
         self.refreshing: asyncio.Task[None] | None = None
         self.suspicion = PrimarySuspicion()
@@ -148,6 +153,7 @@
             if server is None or not server.same_process(pool.server):
                 pool.retire()
                 del self.pools[server_id]
+                self.health.forget(server_id)
                 if not pool.server.leaving:
                     self.missing_servers[server_id] = self.loop.time()
                 self.primary_since.pop(server_id, None)
@@ -383,6 +389,45 @@
         elif failure is not OpenFailure.FULL:
             self.suspicion.connection_refused(now)
 
+    def record_read_answered(
+        self, server_id: str, failed_on: Iterable[str] = ()
+    ) -> None:
+        """Record that a server has answered a read.
+
+        Args:
+          server_id: The server.
+          failed_on: Ids of the servers that have failed the same read before.
+        """
+        for failed_id in failed_on:
+            self.record_read_failed(failed_id)
+        if server_id in self.pools:
+            self.log_health(self.health.answered(server_id, self.loop.time()))
+
+    def record_read_failed(self, server_id: str) -> None:
+        """Record that a server has failed a read.
+
+        Args:
+          server_id: The server.
+        """
+        if server_id in self.pools:
+            self.log_health(self.health.failed(server_id, self.loop.time()))
+
+    def log_health(self, change: HealthChange | None) -> None:
+        """Log a change of a server's health."""
+        if isinstance(change, ServerEjected):
+            self.log.event(
+                "server_ejected",
+                group=self.name,
+                server=change.server_id,
+                failures=change.failures,
+                answers=change.answers,
+                pause=change.pause_seconds,
+            )
+        elif change is not None:
+            self.log.event(
+                "server_readmitted", group=self.name, server=change.server_id
+            )
+
     def choose_read_pool(
         self, now: float, needed: Position | None, excluded: set[str]
     ) -> ConnectionPool | None:
@@ -403,8 +448,12 @@
             now,
             needed,
             self.primary_id,
+            self.health,
         )
-        return self.pools[chosen] if chosen else None
+        if chosen is None:
+            return None
+        self.health.begin_trial(chosen, now)
+        return self.pools[chosen]
 
     def candidate(self, pool: ConnectionPool) -> ServerCandidate:
         """Return a pool's server as a candidate for a read.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -161,7 +161,12 @@
         condition.position_seen(reply.position)
         if reply.problem is Problem.NOT_PRIMARY:
             self.group.mark_not_primary(self.pool)
+        elif reply.problem in (Problem.FAILED, Problem.TIMED_OUT):
+            if not self.on_primary:
+                self.group.record_read_failed(self.pool.server.server_id)
         elif reply.problem is None:
+            if not self.on_primary:
+                self.group.record_read_answered(self.pool.server.server_id)
             condition.answered(self.loop.time() - start, self.loop.time())
             if self.on_primary:
                 # A server that is no longer the primary refuses every
@@ -272,6 +277,9 @@
         """Report an unanswered command to the group and log it."""
         silent = not self.connection.closed
         self.group.record_unanswered(self.pool, silent, start, wrote)
+        if not silent and not self.on_primary:
+            # A silent one may have been sent just before the deadline.
+            self.group.record_read_failed(self.pool.server.server_id)
         self.group.log.event(
             event,
             request=request_id,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -65,6 +65,9 @@
       started_at: When the statement arrived, in seconds on the loop's clock.
       count: Number of attempts.
       excluded: Ids of servers on which the statement has failed.
+      failed_on: Id of the server of each attempt at a read that failed, was
+        not answered in time or lost its connection. It counts against the
+        servers once the read is answered, so that a bad statement does not.
       lagged: Whether the primary lacked the required position.
       reason: Why the latest attempt failed.
       wait_limit_exceeded: Whether the primary's queue could not admit the
@@ -77,6 +80,7 @@
     started_at: float
     count: int = 0
     excluded: set[str] = attrs.Factory(set)
+    failed_on: list[str] = attrs.Factory(list)
     lagged: bool = False
     reason: str = "no server could be reached"
     wait_limit_exceeded: bool = False
@@ -251,6 +255,9 @@
         """Return a reply that the caller may receive, or None."""
         if reply.problem is None:
             pool.condition.caught_up()
+            group.record_read_answered(
+                pool.server.server_id, attempts.failed_on
+            )
             if pool is not group.primary_pool():
                 group.switchover_trigger.replica_answered(self.loop.time())
             return reply
@@ -259,6 +266,7 @@
             return None
         if reply.problem in (Problem.FAILED, Problem.TIMED_OUT):
             attempts.excluded.add(pool.server.server_id)
+            attempts.failed_on.append(pool.server.server_id)
             attempts.reason = reply.problem.value
             return None
         return reply
@@ -318,6 +326,7 @@
             return
         attempts.reason = CONNECTION_LOST if connection.closed else SILENT
         attempts.excluded.add(pool.server.server_id)
+        attempts.failed_on.append(pool.server.server_id)
         pool.condition.failed(now)
         if not connection.closed:
             pool.condition.timed_out(now - start)
@@ -500,6 +509,11 @@
             self.record_refusal(group, pool, reply, attempts)
             return None
         pool.end_statement(connection)
+        if session.read_only:
+            # A server that fails reads may well open transactions, so the
+            # answer to this command is not counted.
+            for server_id in attempts.failed_on:
+                group.record_read_failed(server_id)
         return OpenTransaction(
             group, pool, connection, on_primary, spec.statement_timeout_seconds
         )
