--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
@@ -39,6 +39,8 @@
       revision_offset: Added to the revisions of this epoch, so that they exceed
         those of earlier epochs.
       groups: The declared groups by name.
+      health_by_outcome: Whether servers that fail more reads than their peers
+        get fewer of them.
       servers_known: Whether the servers were read at least once.
       servers_loaded: Set once the servers were read.
       ready: Set once declarations are in force.
@@ -52,7 +54,9 @@
         store_health: StoreHealth,
         homes: Homes,
         log: DecisionLog,
+        health_by_outcome: bool = False,
     ) -> None:
+        self.health_by_outcome = health_by_outcome
         self.declaration_decoder = declaration_decoder
         self.opener = opener
         self.proxy_location = proxy_location
@@ -278,6 +282,7 @@
                     self.store_health,
                     self.homes,
                     self.log,
+                    self.health_by_outcome,
                 )
             else:
                 existing.group = group
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -89,6 +89,7 @@
       declared_version: Version of the configuration in force.
       watermarks: Positions that prove how fresh a replica's data is.
       health: Health of the servers by the outcomes of reads.
+      health_by_outcome: Whether the health decides where reads go.
       control: Sends control commands to the group's servers.
       refreshing: The task that asks the primary for a watermark, or None.
       suspicion: Evidence that the current primary has failed.
@@ -117,7 +118,9 @@
         store_health: StoreHealth,
         homes: Homes,
         log: DecisionLog,
+        health_by_outcome: bool = False,
     ) -> None:
+        self.health_by_outcome = health_by_outcome
         self.homes = homes
         self.store_health = store_health
         self.group = group
@@ -400,7 +403,7 @@
         """
         for failed_id in failed_on:
             self.record_read_failed(failed_id)
-        if server_id in self.pools:
+        if self.health_by_outcome and server_id in self.pools:
             self.log_health(self.health.answered(server_id, self.loop.time()))
 
     def record_read_failed(self, server_id: str) -> None:
@@ -409,7 +412,7 @@
         Args:
           server_id: The server.
         """
-        if server_id in self.pools:
+        if self.health_by_outcome and server_id in self.pools:
             self.log_health(self.health.failed(server_id, self.loop.time()))
 
     def log_health(self, change: HealthChange | None) -> None:
@@ -448,7 +451,7 @@
             now,
             needed,
             self.primary_id,
-            self.health,
+            self.health if self.health_by_outcome else None,
         )
         if chosen is None:
             return None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -117,6 +117,7 @@
             self.store_health,
             self.homes,
             log,
+            settings.health_by_outcome,
         )
         self.followers = {
             follower.table: follower
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_settings.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_settings.py
@@ -38,6 +38,8 @@
       peer_port: The port on which other proxies connect.
       capacity: The number of CPU cores available to this VM.
       first_start: Whether the whole system starts for the first time.
+      health_by_outcome: Whether servers that fail more reads than their peers
+        get fewer of them.
       accounts: The promises about client accounts.
     """
 
@@ -51,4 +53,5 @@
     peer_port: int
     capacity: float
     first_start: bool = False
+    health_by_outcome: bool = False
     accounts: AccountBounds = AccountBounds()
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/standin_platform.py
@@ -203,6 +203,7 @@
         lines = [
             f'nodeName = "{vm}"',
             f'zone = "{zone}"',
+            'contracts = ["health"]',
             f"bootstrap = {str(first_start).lower()}",
             f"internalPorts = [{peers}, {peers}]",
             "[zones]",
