--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -32,6 +32,12 @@
     "leaving": "whether it is shutting down",
     "revision": "the store's version of the report",
 }
+KEY_AGE = {
+    "age": "seconds since the configuration was proven to be the newest one; "
+    "null if it was not",
+    "bound": "seconds within which a withdrawn key must be refused; null if "
+    "none is set",
+}
 LOST = {
     **REQUEST,
     **GROUP,
@@ -119,6 +125,29 @@
         "a stored configuration cannot be used; the last one stays",
         {"revision": "the store's version of it", "detail": "why"},
     ),
+    EventSpec(
+        "keys_unproven",
+        "keys of client accounts can no longer be accepted, since the "
+        "configuration may be older than the bound on withdrawals allows",
+        KEY_AGE,
+    ),
+    EventSpec(
+        "keys_proven",
+        "the age of the configuration is proven again",
+        KEY_AGE,
+    ),
+    EventSpec(
+        "key_refused",
+        "a caller's key was refused on connecting or for a statement",
+        {
+            "request": "the caller's id of the statement; empty on connecting",
+            "database": "the database",
+            "account": "the client account if it was identified before",
+            "key": "the first 8 hexadecimal digits of the key's digest",
+            "reason": "`unknown`, `withdrawn` or `unproven`",
+            "age": KEY_AGE["age"],
+        },
+    ),
     EventSpec(
         "report_unreadable",
         "a server's report cannot be used; it names no server",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
@@ -6,6 +6,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.account_authority import AccountAuthority, KeyRefusal
 from jackdawcrank.relay.execution import Execution
 from jackdawcrank.relay.group_relay import GroupRelay
 from jackdawcrank.relay.resolver import Resolver
@@ -23,13 +24,16 @@
     SetSessionValue,
     Statement,
 )
-from jackdawcrank_policy.catalog import DatabaseSpec
+from jackdawcrank_policy.catalog import DatabaseSpec, Declarations
 from jackdawcrank_policy.sessions import PreparedStatement, SessionContext
 from jackdawcrank_policy.values.position import Position
 
 # Bound the memory that a faulty caller can use in this process.
 MAX_SESSION_VALUES = 256
 MAX_SESSION_STATEMENTS = 1_024
+# Statements that need a valid key. The proxy answers the others by itself, and a
+# rollback is always accepted.
+KEYED_STATEMENTS = (Begin, Commit, DataStatement, ExecutePrepared)
 INTERNAL_ERROR = "an internal error ended the statement"
 
 
@@ -54,6 +58,10 @@
       busy: Whether a statement is running.
       account: The client account of the caller; empty if it has none.
       key_digest: The SHA-256 digest of the key that the caller sent.
+      authority: Checks the key for each statement; None if none is needed.
+      identified: Whether the key was needed and identified.
+      checked_under: The declarations under which the key was accepted last.
+      ended: Whether the connection is to be closed after the answer.
       active_at: When the last statement ended, in seconds on the event loop's
         clock.
     """
@@ -73,6 +81,10 @@
     active_at: float = 0.0
     account: str = ""
     key_digest: bytes = b""
+    authority: AccountAuthority | None = None
+    identified: bool = False
+    checked_under: Declarations | None = None
+    ended: bool = False
 
     async def handle(self, request_id: str, statement: Statement) -> Reply:
         """Run a statement and return the complete reply.
@@ -85,6 +97,10 @@
         try:
             if self.state is SessionState.FAILED:
                 return self.reply_after_failure(statement)
+            if self.authority and isinstance(statement, KEYED_STATEMENTS):
+                refusal = self.authority.check(self, request_id)
+                if refusal is not None:
+                    return self.refuse_key(statement, refusal)
             return await handle(statement, self, request_id)
         except Exception as error:
             return self.reply_after_error(request_id, error)
@@ -92,6 +108,26 @@
             self.busy = False
             self.active_at = asyncio.get_running_loop().time()
 
+    def refuse_key(self, statement: Statement, refusal: KeyRefusal) -> Reply:
+        """Return the reply to a statement whose key may not be used now.
+
+        An open transaction is rolled back. The session ends if the key is
+        known to be invalid.
+
+        Args:
+          statement: The statement.
+          refusal: Why the key may not be used.
+        """
+        problem = refusal.problem
+        self.ended = problem is Problem.UNKNOWN_KEY
+        if self.state is SessionState.IN_TRANSACTION:
+            if not self.ended:
+                problem = Problem.ROLLED_BACK
+            self.fail_transaction()
+            if isinstance(statement, Commit):
+                self.end_transaction()
+        return self.refuse(problem, refusal.detail)
+
     def reply_after_failure(self, statement: Statement) -> Reply:
         """Return the reply to a statement in a failed transaction.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
@@ -85,18 +85,6 @@
         group = self.groups.get(spec.group)
         return (spec, group) if group else None
 
-    def account_name(self, spec: DatabaseSpec, key_digest: bytes) -> str:
-        """Return the client account of a key, or an empty string.
-
-        Args:
-          spec: The database that the caller asked for.
-          key_digest: The SHA-256 digest of the caller's key.
-        """
-        if self.declarations is None or spec.anonymous:
-            return ""
-        account = self.declarations.account_of(key_digest)
-        return account.name if account else ""
-
     def apply_declarations_image(self, image: TableSnapshot) -> None:
         """Apply an image of the declarations table.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
@@ -1,7 +1,8 @@
 """Streams on which a proxy forwards requests to a home."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+import typing
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -198,7 +199,7 @@
         self.send(pack(0, Kind.RESEND, table))
 
     def record_heartbeat(
-        self, followed: dict[str, tuple[int, int, float]]
+        self, followed: dict[str, Sequence[typing.Any]]
     ) -> None:
         """Record a heartbeat of the home.
 
@@ -206,14 +207,19 @@
 
         Args:
           followed: The store's epoch, the revision that the home knows and the
-            seconds since the store's last answer, by table.
+            seconds since the store's last answer, by table; and the store
+            time up to which the home knows all changes, where the age of rows
+            must be proven.
         """
-        for table, (epoch, revision, answer_age) in followed.items():
+        for table, (epoch, revision, answer_age, *proven) in followed.items():
             if table in self.incomplete:
                 # Changes up to that revision were received but not applied.
                 continue
             if not self.followers[table].advance_revision(epoch, revision):
                 continue
+            if proven:
+                # All changes up to the revision came before on this stream.
+                self.followers[table].prove(float(proven[0]), epoch)
             self.followers[table].store_health.record_hint()
             self.heartbeat_at[table] = self.loop.time()
             self.store_answered_at[table] = boot_seconds() - answer_age
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -8,6 +8,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.account_authority import AccountAuthority
 from jackdawcrank.relay.caller_session import CallerSession
 from jackdawcrank.relay.claim_rows import ClaimRows
 from jackdawcrank.relay.counted_store import CountedStore
@@ -50,6 +51,7 @@
 # starts for the first time matters at the start only.
 RELOADABLE = frozenset(
     {
+        "accounts",
         "configuration_seconds",
         "drain_seconds",
         "first_start",
@@ -72,6 +74,7 @@
       members: The VMs that are known from the store.
       homes: Selects the homes of a database group.
       directory: The declarations, groups and servers.
+      authority: Checks the keys of callers.
       followers: The followers of the store's tables, by table.
       router: Runs statements on homes or locally.
       table_applied: Set and replaced whenever a table has a new image or
@@ -161,6 +164,9 @@
         # Declarations have versions of their own, so any image may be offered.
         declarations.on_outdated_image = self.directory.apply_declarations_image
         declarations.row_after_restoration = self.directory.newer_declarations
+        self.authority = AccountAuthority(
+            self.directory, declarations, settings.accounts, log
+        )
         self.members.store_seconds = self.store_seconds
         if settings.first_start:
             self.followers[
@@ -178,6 +184,7 @@
             self.router, self.members, self.store_health, rng
         )
         self.table_publisher = TablePublisher(self.followers.values(), log)
+        self.apply_account_bounds()
         self.upstream_selector = UpstreamSelector(
             self.router, self.members, self.followers.values(), log
         )
@@ -226,12 +233,23 @@
         self.directory.proxy_location.regions = applied.regions
         self.graceful_shutdown.grace_seconds = applied.stop_grace_seconds
         decoder = self.directory.declaration_decoder
-        self.followers[decoder.declarations_table].set_limit(
-            applied.configuration_seconds
-        )
+        self.apply_account_bounds()
         self.followers[decoder.servers_table].set_limit(applied.drain_seconds)
         return changed - RELOADABLE
 
+    def apply_account_bounds(self) -> None:
+        """Apply the bounds of the settings to the declarations and accounts."""
+        bounds = self.settings.accounts
+        self.authority.apply_bounds(bounds)
+        decoder = self.directory.declaration_decoder
+        self.followers[decoder.declarations_table].set_limit(
+            self.settings.configuration_seconds,
+            self.authority.longest_wait_seconds(),
+        )
+        self.table_publisher.sends_proofs = (
+            bounds.revocation_seconds is not None
+        )
+
     def store_seconds(self) -> float | None:
         """Return the time on the store's clock in seconds, None if unknown."""
         known = [
@@ -306,7 +324,10 @@
             )
         session = CallerSession(database, self.directory, self.router, self.log)
         session.key_digest = key_digest
-        session.account = self.directory.account_name(found[0], key_digest)
+        session.authority = self.authority
+        refusal = self.authority.check(session, "")
+        if refusal is not None:
+            return Reply(problem=refusal.problem, detail=refusal.detail)
         return session
 
     def readiness(self) -> bool:
@@ -316,6 +337,7 @@
             and (self.directory.servers_known or not self.is_home())
             and not self.graceful_shutdown.begun
             and not self.directory.cut_off()
+            and self.authority.observe()
         )
 
     async def stop(self) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import collections
+import contextlib
 import math
 import random
 import typing
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.await_event import await_event
@@ -21,6 +22,7 @@
     TableSnapshot,
 )
 from jackdawcrank.tasks import cancel_and_wait
+from jackdawcrank_policy.accounts import ProvenTime
 from jackdawcrank_policy.retry.outage_pacing import probe_pause_seconds
 
 # Share of a table's time limit (3 s or more) after which an answer of the store
@@ -57,6 +59,12 @@
 # Upstream VMs that read a burst of changes at different moments send patches of
 # different versions of a row.
 MAX_BASES = 4
+# Where the age of the rows must be proven, the store is called without a wait
+# this often, since only a short call relates the clocks exactly. They drift by
+# 0.1 s in this time.
+CLOCK_CALL_SECONDS = 200.0
+# Pause after such a call without an answer, while upstream VMs relay changes.
+CLOCK_RETRY_SECONDS = 2.0
 # Interval at which an idle follower checks whether it must follow the store.
 IDLE_POLL_SECONDS = 0.2
 
@@ -129,6 +137,12 @@
         the store answers again.
       store_health: Records answers and failures of the store.
       observer: Receives each new image and change; may be None.
+      longest_wait_seconds: A limit of `wait_seconds` that keeps the proven age
+        of the rows low; infinite if no age must be proven.
+      proven: The store time up to which all changes are known.
+      on_proof_changed: Called after each change of `proven`.
+      clock_call_at: When the store is to be called next to relate the clocks,
+        in seconds since boot.
       on_applied: Called after each new image or change is applied.
       on_outdated_image: Called with an image that is not applied, since it is
         no newer than the known rows.
@@ -160,6 +174,10 @@
         self.needed = needed
         self.store = store
         self.table = table
+        self.longest_wait_seconds = math.inf
+        self.proven = ProvenTime()
+        self.on_proof_changed: Callable[[], None] = lambda: None
+        self.clock_call_at = 0.0
         self.set_limit(limit_seconds)
         self.first_read_delay_seconds = 0.0
         self.on_image = on_image
@@ -196,18 +214,27 @@
         self.loop = asyncio.get_running_loop()
         self.task: asyncio.Task[None] | None = None
 
-    def set_limit(self, limit_seconds: float) -> None:
+    def set_limit(
+        self, limit_seconds: float, longest_wait_seconds: float = math.inf
+    ) -> None:
         """Set the time within which a change must be known.
 
         Args:
           limit_seconds: The time limit in seconds.
+          longest_wait_seconds: The longest wait of one call for changes, if the
+            age of the rows must be proven.
         """
-        self.wait_seconds = limit_seconds * WAIT_SHARE
+        self.longest_wait_seconds = longest_wait_seconds
+        self.wait_seconds = min(
+            limit_seconds * WAIT_SHARE, longest_wait_seconds
+        )
         self.trust_seconds = limit_seconds * TRUST_SHARE
         self.probe_seconds = limit_seconds * PROBE_SHARE
         self.connected_probe_seconds = limit_seconds * CONNECTED_PROBE_SHARE
         self.settle_seconds = min(
-            limit_seconds * SETTLE_SHARE, MAX_SETTLE_SECONDS
+            limit_seconds * SETTLE_SHARE,
+            MAX_SETTLE_SECONDS,
+            longest_wait_seconds,
         )
 
     async def start(self) -> None:
@@ -265,6 +292,8 @@
                 # Upstream VMs send heartbeats only while they reach the
                 # store.
                 self.store_health.record_success()
+            if self.needed() and self.clock_call_due():
+                await self.relate_clocks()
             await self.wait_while_idle()
         elif self.revision is None or self.must_read:
             await self.read()
@@ -275,11 +304,71 @@
         else:
             # Changes may have been missed and the connection may have died
             # since the last call; both must be noticed at once.
-            wait_seconds = 0.0 if self.has_waited else self.wait_seconds
+            short = self.has_waited or self.clock_call_due()
+            wait_seconds = 0.0 if short else self.wait_seconds
             self.has_waited = False
             self.has_followed = True
             await self.follow(self.revision, wait_seconds)
 
+    def clock_call_due(self) -> bool:
+        """Return whether a short call must relate the clocks again."""
+        return (
+            math.isfinite(self.longest_wait_seconds)
+            and boot_seconds() >= self.clock_call_at
+        )
+
+    async def relate_clocks(self) -> None:
+        """Call the store although upstream VMs relay the changes.
+
+        A failure says nothing about the changes, so it is not recorded.
+        """
+        if self.revision is None:
+            return
+        sent_at = self.begin_call(0.0)
+        changes = await self.store.follow(self.table, self.revision, 0.0)
+        if not isinstance(changes, TableChanges):
+            self.clock_call_at = boot_seconds() + CLOCK_RETRY_SECONDS
+            return
+        self.record_exchange(sent_at, changes.store_seconds, changes.epoch)
+        self.apply_changes(changes)
+        self.prove(changes.store_seconds, changes.epoch)
+
+    def record_exchange(
+        self, sent_at: float, store_seconds: float | None, epoch: int
+    ) -> None:
+        """Record a call that the store answered with its clock.
+
+        Args:
+          sent_at: When the call was sent, in seconds since boot.
+          store_seconds: The store's clock; None if the store does not tell it.
+          epoch: The store's epoch.
+        """
+        if store_seconds is None or not math.isfinite(store_seconds):
+            return
+        self.proven.exchanged(sent_at, store_seconds, epoch)
+
+    def prove(self, store_seconds: float | None, epoch: int) -> None:
+        """Record that all changes up to a store time were applied.
+
+        Args:
+          store_seconds: The time on the store's clock; None if it is unknown.
+          epoch: The store's epoch.
+        """
+        if store_seconds is None or epoch != self.epoch:
+            return
+        if self.revision is None or self.must_read:
+            # Changes may be missing.
+            return
+        if self.proven.prove(store_seconds, epoch, boot_seconds()):
+            self.on_proof_changed()
+
+    @property
+    def proven_store_seconds(self) -> float | None:
+        """The store time up to which all changes are known, or None."""
+        if self.proven.clock.epoch != self.epoch:
+            return None
+        return self.proven.store_seconds
+
     def is_settling(self) -> bool:
         """Return whether the first read suffices until others relay changes.
 
@@ -298,12 +387,26 @@
 
     async def read(self) -> None:
         """Read the whole table; wait if that fails."""
+        sent_at = self.begin_call(0.0)
         image = await self.store.read_table(self.table)
         if isinstance(image, StoreFailure):
             await self.failed(image)
             return
         self.answered()
+        self.record_exchange(sent_at, image.store_seconds, image.epoch)
         self.apply_image(image)
+        self.prove(image.store_seconds, image.epoch)
+
+    def begin_call(self, wait_seconds: float) -> float:
+        """Return the time at which a call of the store is sent.
+
+        Args:
+          wait_seconds: The longest wait of the call.
+        """
+        now = boot_seconds()
+        if wait_seconds == 0.0:
+            self.clock_call_at = now + CLOCK_CALL_SECONDS
+        return now
 
     async def follow(self, revision: int, wait_seconds: float) -> None:
         """Wait for the next changes and apply them.
@@ -312,6 +415,7 @@
           revision: The revision up to which changes are known.
           wait_seconds: The longest wait for a change.
         """
+        sent_at = self.begin_call(wait_seconds)
         changes = await self.store.follow(self.table, revision, wait_seconds)
         if isinstance(changes, StoreFailure):
             await self.failed(changes)
@@ -321,7 +425,9 @@
             self.log.event("history_gone", table=self.table, after=revision)
             self.must_read = True
             return
+        self.record_exchange(sent_at, changes.store_seconds, changes.epoch)
         self.apply_changes(changes)
+        self.prove(changes.store_seconds, changes.epoch)
         if self.observer is not None:
             self.observer.store_answered(self)
         if (changes.rows or changes.removed) and not self.must_read:
@@ -348,12 +454,29 @@
         self.rows = self.merge_restored(rows) if restored else rows
         self.bases.clear()
         self.epoch = image.epoch
+        if self.proven.clock.epoch != image.epoch:
+            # A proof needs an own call in the new epoch.
+            self.clock_call_at = 0.0
         self.revision = self.last_change_revision = image.revision
-        self.on_image(image)
+        with self.reread_after_error():
+            self.on_image(image)
         if self.observer is not None:
             self.observer.image_applied(self)
         self.on_applied()
 
+    @contextlib.contextmanager
+    def reread_after_error(self) -> Iterator[None]:
+        """Read the table again if rows were applied in part only.
+
+        Otherwise the next heartbeat would prove rows that are not in force.
+        """
+        try:
+            yield
+        except Exception:
+            self.revision = None
+            self.must_read = True
+            raise
+
     def merge_restored(
         self, stored: dict[str, StoredRow]
     ) -> dict[str, StoredRow]:
@@ -399,7 +522,8 @@
         for key in changes.removed:
             self.rows.pop(key, None)
         self.rows.update((row.key, row) for row in changes.rows)
-        self.on_changes(changes)
+        with self.reread_after_error():
+            self.on_changes(changes)
         if self.observer is not None:
             self.observer.changes_applied(self, after, changes, earlier)
         self.on_applied()
@@ -463,6 +587,9 @@
         health = self.store_health
         health.record_failure(f"{self.table}: {failure.detail}")
         self.failures += 1
+        if math.isfinite(self.longest_wait_seconds):
+            # The first answer after an outage proves the age at once.
+            self.has_waited = True
         pause = self.probe_pause()
         if self.probes_store:
             health.probed = True
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_publisher.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_publisher.py
@@ -85,6 +85,9 @@
     Attributes:
       followers: The followers of this process by table.
       log: Records subscribers that do not read.
+      sends_proofs: Whether heartbeats carry the store time up to which all
+        changes are known. Proxies of earlier versions cannot read it, so it is
+        sent only where a bound on withdrawals is set.
       subscribers: The subscribed tables of each connection.
       compressed: The compressed rows of the latest image of each table, with
         its epoch and revision.
@@ -96,6 +99,7 @@
     ) -> None:
         self.followers = {one.table: one for one in followers}
         self.log = log
+        self.sends_proofs = False
         self.subscribers: dict[Subscriber, set[str]] = {}
         self.compressed: dict[str, tuple[tuple[int, int], bytes]] = {}
         self.subscription: Subscription | None = None
@@ -244,6 +248,7 @@
                 follower.epoch,
                 follower.revision,
                 follower.answer_age(),
+                *self.proof_of(follower),
             )
             for table in tables
             if (follower := self.followers[table]).active()
@@ -251,6 +256,11 @@
         if followed:
             self.send(subscriber, pack(0, Kind.ALIVE, followed))
 
+    def proof_of(self, follower: TableFollower) -> tuple[float, ...]:
+        """Return the proven store time of a table; empty if none is sent."""
+        proven = follower.proven_store_seconds
+        return (proven,) if self.sends_proofs and proven is not None else ()
+
 
 def is_current(known: KnownTable, follower: TableFollower) -> bool:
     """Return whether a subscriber knows all rows that a follower knows.
--- a/packages/jackdawcrank-proxy/tests/relay/test_home_stream.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_home_stream.py
@@ -123,3 +123,48 @@
     image = [b"no image", 5, 100.0, 0]
     stream.frame_received(pack(0, Kind.IMAGE, "op", image))
     assert stream.closed
+
+
+def prove(stream: HomeStream, store_seconds: float, epoch: int) -> None:
+    stream.record_heartbeat({"op": (epoch, 11, 0.1, store_seconds)})
+
+
+async def test_heartbeat_proves_only_what_was_applied(
+    stream: HomeStream, follower: TableFollower, sent: list[Kind]
+) -> None:
+    # A withdrawn key is accepted if rows count as newer than they are.
+    prove(stream, 100.0, 0)
+    # No own call relates the clocks yet, and an image proves nothing.
+    assert follower.proven_store_seconds is None
+    now = home_stream.boot_seconds()
+    follower.record_exchange(now - 9.0, 100.0, 0)
+    follower.apply_image(TableSnapshot((long_row(6),), 12, 101.0))
+    assert follower.proven_store_seconds is None
+    prove(stream, 102.0, 1)
+    prove(stream, 200.0, 0)
+    assert follower.proven_store_seconds is None
+    stream.frame_received(change(15, 16))
+    assert sent == [Kind.RESEND]
+    prove(stream, 102.0, 0)
+    assert follower.proven_store_seconds is None
+    stream.incomplete.clear()
+    prove(stream, 102.0, 0)
+    prove(stream, 101.0, 0)
+    assert follower.proven_store_seconds == 102.0
+    assert follower.proven.local_seconds == pytest.approx(now - 7.0, abs=0.01)
+
+
+async def test_rows_that_could_not_be_put_into_force_prove_nothing(
+    stream: HomeStream, follower: TableFollower
+) -> None:
+    # The revision advances before the rows are in force.
+    def fail(_image: TableSnapshot) -> None:
+        raise ValueError("unexpected")
+
+    follower.record_exchange(home_stream.boot_seconds() - 9.0, 100.0, 0)
+    follower.on_image = fail
+    with pytest.raises(ValueError, match="unexpected"):
+        follower.apply_image(TableSnapshot((), 11, 101.0))
+    prove(stream, 102.0, 0)
+    assert follower.proven_store_seconds is None
+    assert follower.must_read
--- a/packages/jackdawcrank-proxy/tests/relay/test_table_follower.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_table_follower.py
@@ -444,3 +444,57 @@
         for one in (early, late)
     ]
     assert times[1] - times[0] >= 60.0
+
+
+async def test_answers_prove_and_are_passed_on_where_a_bound_is_set(
+    follower: TableFollower,
+    store: FakeStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # VMs that rely on this one would refuse all keys.
+    publisher = TablePublisher([follower], follower.log)
+    subscriber = FakeSubscriber()
+    follower.set_limit(5.0, 1.25)
+    await follower.start()
+    await run_ready_tasks()
+    publisher.subscribe(subscriber, unknown("op"))
+    publisher.sends_proofs = True
+    now = table_follower.boot_seconds()
+    monkeypatch.setattr(table_follower, "boot_seconds", lambda: now + 1.25)
+    store.answers.put_nowait(TableChanges((), (), 5, 0, 101.25))
+    await run_ready_tasks()
+    heartbeats = [unpack(one)[2][0]["op"] for one in subscriber.sent[1:]]
+    assert [len(one) for one in heartbeats] == [3, 4]
+    assert heartbeats[1][3] == follower.proven_store_seconds == 101.25
+    assert store.waits == [1.25, 1.25]
+
+
+async def test_clocks_are_related_while_upstreams_relay_changes(
+    follower: TableFollower, store: FakeStore
+) -> None:
+    # Without own calls, a VM could not tell the age of what it hears.
+    follower.set_limit(5.0, 1.25)
+    follower.apply_image(TableSnapshot((), 5, 100.0))
+    follower.has_upstreams = lambda _table: True
+    store.answers.put_nowait(StoreFailure(False, "cut"))
+    await follower.step()
+    assert not follower.store_health.lost and not follower.clock_call_due()
+    follower.clock_call_at = 0.0
+    store.answers.put_nowait(TableChanges((), (), 5, 0, 100.0))
+    await follower.step()
+    assert store.waits == [0.0, 0.0]
+    assert follower.proven_store_seconds == 100.0
+    assert not follower.clock_call_due()
+
+
+async def test_first_call_after_an_outage_does_not_wait(
+    follower: TableFollower, store: FakeStore
+) -> None:
+    # The proof would come back a whole wait later than the store.
+    follower.set_limit(0.1, 1.25)
+    await follower.read()
+    store.answers.put_nowait(StoreFailure(False, "cut"))
+    await follower.step()
+    store.answers.put_nowait(TableChanges((), (), 5, 0, 101.0))
+    await follower.step()
+    assert store.waits[-1] == 0.0
