--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/__init__.py
@@ -11,6 +11,7 @@
 from jackdawcrank_policy.homes.watch_order import (
     MAX_UPSTREAMS,
     MIN_UPSTREAMS,
+    lower_vms,
     upstream_vms,
 )
 
@@ -22,6 +23,7 @@
     "Member",
     "home_count",
     "home_vms",
+    "lower_vms",
     "plan_homes",
     "region_homes",
     "upstream_vms",
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/watch_order.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/homes/watch_order.py
@@ -23,6 +23,31 @@
 def upstream_vms(own: Member, members: Iterable[Member]) -> tuple[Member, ...]:
     """Return the VMs ranked above a VM in its region, best ranked first.
 
+    Args:
+      own: The VM.
+      members: All known VMs.
+    """
+    ranked = ranked_region(own, members)
+    return ranked[: ranked.index(own)]
+
+
+def lower_vms(own: Member, members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return the VMs ranked below a VM in its region, best ranked first.
+
+    While a VM is cut off from the store, they can prove the age of what it
+    knows. It does not rely on them for changes, so they may rely on it.
+
+    Args:
+      own: The VM.
+      members: All known VMs.
+    """
+    ranked = ranked_region(own, members)
+    return ranked[ranked.index(own) + 1 :]
+
+
+def ranked_region(own: Member, members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return all VMs of a VM's region, best ranked first.
+
     Args:
       own: The VM.
       members: All known VMs.
@@ -30,7 +55,6 @@
     region_members = [
         member for member in members if member.region == own.region
     ]
-    ranked = region_homes(
+    return region_homes(
         RANKING_KEY, {*region_members, own}, len(region_members) + 1
     )
-    return ranked[: ranked.index(own)]
--- a/packages/jackdawcrank-policy/tests/homes/test_watch_order.py
+++ b/packages/jackdawcrank-policy/tests/homes/test_watch_order.py
@@ -1,4 +1,4 @@
-from jackdawcrank_policy.homes import Member, upstream_vms
+from jackdawcrank_policy.homes import Member, lower_vms, upstream_vms
 
 
 def member(name: str, region: str = "r", capacity: float = 0.7) -> Member:
@@ -32,3 +32,14 @@
     assert upstream_vms(own, [own, large, far])[0] == large
     assert far not in upstream_vms(own, [own, large, far])
     assert upstream_vms(large, [own, large, far]) == ()
+
+
+def test_lower_vms_are_all_others_of_the_region() -> None:
+    # The best ranked VM would hear nobody while it is cut off from the store.
+    members = [member(f"vm{n}") for n in range(5)]
+    far = member("vm9", region="elsewhere")
+    for own in members:
+        above = upstream_vms(own, [*members, far])
+        below = lower_vms(own, [*members, far])
+        assert {own, *above, *below} == set(members)
+        assert len(above) + len(below) == 4
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/upstream_selector.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/upstream_selector.py
@@ -1,5 +1,6 @@
 """Selection of the upstream VMs that relay store changes to this VM."""
 
+import math
 from collections.abc import Iterable
 
 from jackdawcrank.decisions import DecisionLog
@@ -13,6 +14,7 @@
     MAX_UPSTREAMS,
     MIN_UPSTREAMS,
     Member,
+    lower_vms,
     upstream_vms,
 )
 
@@ -121,7 +123,7 @@
         tables = {one.table for one in self.followers if one.needed()}
         self.log_relayed_tables(tables)
         usable = 0
-        for member in self.upstreams():
+        for member in (*self.upstreams(), *self.witnesses()):
             if usable >= MIN_UPSTREAMS:
                 return
             stream = await self.router.connected_stream(member)
@@ -130,6 +132,19 @@
             stream.subscribe(tables)
             usable += self.usable(stream, tables)
 
+    def witnesses(self) -> tuple[Member, ...]:
+        """Return more VMs that may prove the age of what this one knows.
+
+        There are none while the store answers, or if no age must be proven.
+        """
+        if not any(
+            math.isfinite(one.longest_wait_seconds) and one.store_health.lost
+            for one in self.followers
+        ):
+            return ()
+        members = self.members.members.values()
+        return lower_vms(self.members.own, members)[:MAX_UPSTREAMS]
+
     def usable(self, stream: HomeStream, tables: set[str]) -> bool:
         """Return whether a VM sends heartbeats or was just subscribed to."""
         now = self.router.loop.time()
