--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_authority.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_authority.py
@@ -47,7 +47,8 @@
       key_digest: The SHA-256 digest of the key.
       account: The account that the session runs for; empty for none.
       identified: Whether the key was needed and identified.
-      checked_under: The declarations under which the key was accepted last.
+      checked_version: The version of the declarations under which the key was
+        accepted last; None before that.
       state: The transaction state.
     """
 
@@ -55,7 +56,7 @@
     key_digest: bytes
     account: str
     identified: bool
-    checked_under: Declarations | None
+    checked_version: int | None
     state: SessionState
 
 
@@ -165,11 +166,13 @@
           request_id: The request id that the caller sent; empty on connecting.
         """
         declarations = self.catalog.declarations
-        if declarations is session.checked_under and (
+        if declarations is None:
+            return None
+        if declarations.version == session.checked_version and (
             not session.identified or boot_seconds() <= self.proven_until
         ):
             return None
-        if declarations is None or (
+        if (
             session.database not in declarations.databases
             and not session.identified
         ):
@@ -217,7 +220,7 @@
             return None
         session.account = name
         session.identified = account is not None
-        session.checked_under = declarations
+        session.checked_version = declarations.version
         return None
 
     def refuse(
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
@@ -24,7 +24,7 @@
     SetSessionValue,
     Statement,
 )
-from jackdawcrank_policy.catalog import DatabaseSpec, Declarations
+from jackdawcrank_policy.catalog import DatabaseSpec
 from jackdawcrank_policy.sessions import PreparedStatement, SessionContext
 from jackdawcrank_policy.values.position import Position
 
@@ -60,7 +60,9 @@
       key_digest: The SHA-256 digest of the key that the caller sent.
       authority: Checks the key for each statement; None if none is needed.
       identified: Whether the key was needed and identified.
-      checked_under: The declarations under which the key was accepted last.
+      checked_version: The version of the declarations under which the key was
+        accepted last; None before that. A reference to the declarations would
+        keep every version alive that an idle session was checked under.
       ended: Whether the connection is to be closed after the answer.
       active_at: When the last statement ended, in seconds on the event loop's
         clock.
@@ -83,7 +85,7 @@
     key_digest: bytes = b""
     authority: AccountAuthority | None = None
     identified: bool = False
-    checked_under: Declarations | None = None
+    checked_version: int | None = None
     ended: bool = False
 
     async def handle(self, request_id: str, statement: Statement) -> Reply:
