--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -40,7 +40,42 @@
     "waited": "seconds until it was given up",
 }
 
+ACCOUNT = {"account": "the client account"}
+HOLDER = {"holder": "the VM that counts the account; empty if none answered"}
+
 EVENTS = (
+    EventSpec(
+        "account_limited",
+        "an operation of an account is refused beyond its limit, or because no "
+        "VM that counts it answers",
+        {
+            **REQUEST,
+            **ACCOUNT,
+            "rate": "operations per second that it may run",
+            "burst": "operations beyond the rate",
+            **HOLDER,
+            "retry_after_ms": "when the caller is told to return",
+        },
+    ),
+    EventSpec(
+        "account_counting",
+        "this VM begins to count an account",
+        {
+            **ACCOUNT,
+            "operations": "operations in the window, as first reported",
+            "tokens": "the operations that it may grant at once",
+        },
+    ),
+    EventSpec(
+        "account_usage",
+        "every 5 s, for the 20 busiest accounts of this VM",
+        {
+            **ACCOUNT,
+            "admitted": "operations admitted since the last line",
+            "limited": "operations refused since the last line",
+            **HOLDER,
+        },
+    ),
     EventSpec(
         "started",
         "the process begins",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
@@ -36,6 +36,8 @@
     CHANGES = 13
     STORE_ANSWERS = 14
     RESEND = 15
+    ALLOWANCE_REQUEST = 16
+    ALLOWANCE_GRANT = 17
 
 
 Fields = list[typing.Any]
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
@@ -17,9 +17,11 @@
 from jackdawcrank.relay.home_stream import (
     HOME_CONNECT_TIMEOUT_SECONDS,
     HOME_MARGIN_SECONDS,
+    GrantHandler,
     HomeAnswer,
     HomeLost,
     HomeStream,
+    ignore_grant,
     open_stream,
 )
 from jackdawcrank.relay.homes import Homes
@@ -89,6 +91,7 @@
       log: Records routing events.
       followers: The followers of the store's tables, by table.
       detect_dead_peer: Sets the socket options that detect a dead peer.
+      on_grant: Receives the fields of granted tokens of client accounts.
       routes: Connection state of the other proxies, by VM.
     """
 
@@ -105,6 +108,7 @@
         self.log = log
         self.followers = followers
         self.detect_dead_peer = detect_dead_peer
+        self.on_grant: GrantHandler = ignore_grant
         self.routes: dict[str, Route] = {}
         self.loop = asyncio.get_running_loop()
 
@@ -300,7 +304,11 @@
         started_at = self.loop.time()
         try:
             route.stream = await open_stream(
-                member, self.followers, self.detect_dead_peer, self.log
+                member,
+                self.followers,
+                self.detect_dead_peer,
+                self.log,
+                self.on_grant,
             )
         finally:
             route.opening = None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
@@ -7,6 +7,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.account_limits import AccountLimits
 from jackdawcrank.relay.caller_session import INTERNAL_ERROR
 from jackdawcrank.relay.directory import Directory
 from jackdawcrank.relay.frame_protocol import FrameProtocol
@@ -139,6 +140,9 @@
                 self.home.table_publisher.resend(self, str(fields[0]))
             elif kind is Kind.STORE_ANSWERS:
                 self.home.directory.store_health.record_hint()
+            elif kind is Kind.ALLOWANCE_REQUEST:
+                if self.home.account_limits is not None:
+                    self.send(self.home.account_limits.request_received(fields))
             elif kind is Kind.UNDO:
                 _, transaction = self.transactions.pop(fields[0], (None, None))
                 if transaction is not None:
@@ -274,6 +278,8 @@
       detect_dead_peer: Sets the socket options that detect a dead peer.
       table_publisher: Sends changes of the store's tables to subscribed
         proxies.
+      account_limits: Answers requests for tokens of client accounts; None if
+        accounts are not limited.
       connections: The open connections.
       forwarding_seen: Set when a proxy has forwarded a request to this home.
       server: The listening server, or None before the start.
@@ -288,6 +294,7 @@
         log: DecisionLog,
         detect_dead_peer: Callable[[asyncio.BaseTransport], None],
         table_publisher: TablePublisher,
+        account_limits: AccountLimits | None = None,
     ) -> None:
         self.host = host
         self.port = port
@@ -296,6 +303,7 @@
         self.log = log
         self.detect_dead_peer = detect_dead_peer
         self.table_publisher = table_publisher
+        self.account_limits = account_limits
         self.connections: set[HomeConnection] = set()
         self.forwarding_seen = asyncio.Event()
         self.server: asyncio.Server | None = None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
@@ -33,6 +33,13 @@
 HOME_MARGIN_SECONDS = 0.2
 
 
+GrantHandler = Callable[[Fields], None]
+
+
+def ignore_grant(_fields: Fields) -> None:
+    """Ignore a grant, on a proxy that limits no client accounts."""
+
+
 @attrs.frozen
 class HomeAnswer:
     """The answer of a home to a request.
@@ -66,6 +73,7 @@
       followers: The followers that apply received table updates, by table.
       detect_dead_peer: Sets the socket options that detect a dead peer.
       log: Records malformed messages.
+      on_grant: Receives the fields of granted tokens of client accounts.
       leaving: Whether the home has asked for no new requests.
       subscribed: The tables to which this proxy is subscribed.
       subscribed_at: When the last subscription was sent.
@@ -83,11 +91,13 @@
         followers: Mapping[str, TableFollower],
         detect_dead_peer: Callable[[asyncio.BaseTransport], None],
         log: DecisionLog,
+        on_grant: GrantHandler = ignore_grant,
     ) -> None:
         super().__init__()
         self.followers = followers
         self.detect_dead_peer = detect_dead_peer
         self.log = log
+        self.on_grant = on_grant
         self.leaving = False
         self.subscribed: set[str] = set()
         self.subscribed_at = 0.0
@@ -159,6 +169,8 @@
                 self.record_changes(*fields)
             elif kind is Kind.ALIVE:
                 self.record_heartbeat(*fields)
+            elif kind is Kind.ALLOWANCE_GRANT:
+                self.on_grant(fields)
             elif kind is Kind.LEAVING:
                 self.leaving = True
         except (ValueError, TypeError, KeyError, AttributeError) as error:
@@ -265,6 +277,7 @@
     followers: Mapping[str, TableFollower],
     detect_dead_peer: Callable[[asyncio.BaseTransport], None],
     log: DecisionLog,
+    on_grant: GrantHandler = ignore_grant,
 ) -> HomeStream | None:
     """Return a stream to a home, or None if it cannot be reached.
 
@@ -273,12 +286,13 @@
       followers: The followers that apply received table updates, by table.
       detect_dead_peer: Sets the socket options that detect a dead peer.
       log: Records malformed messages.
+      on_grant: Receives the fields of granted tokens of client accounts.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(HOME_CONNECT_TIMEOUT_SECONDS):
             _, stream = await loop.create_connection(
-                lambda: HomeStream(followers, detect_dead_peer, log),
+                lambda: HomeStream(followers, detect_dead_peer, log, on_grant),
                 member.host,
                 member.port,
             )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -3,11 +3,12 @@
 import asyncio
 import os
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.account_limits import AccountLimits
 from jackdawcrank.relay.caller_session import CallerSession
 from jackdawcrank.relay.claim_rows import ClaimRows
 from jackdawcrank.relay.counted_store import CountedStore
@@ -39,6 +40,7 @@
 from jackdawcrank.seams.replies import Problem, Reply
 from jackdawcrank.seams.server_connection import ConnectionOpener
 from jackdawcrank.timer import TimerService
+from jackdawcrank_policy.catalog import AccountSpec
 from jackdawcrank_policy.homes import Member
 
 # Callers time out on connecting after 2 s.
@@ -73,6 +75,7 @@
       homes: Selects the homes of a database group.
       directory: The declarations, groups and servers.
       followers: The followers of the store's tables, by table.
+      account_limits: Admits operations of client accounts within their limits.
       router: Runs statements on homes or locally.
       table_applied: Set and replaced whenever a table has a new image or
         change.
@@ -170,10 +173,15 @@
         self.table_applied = asyncio.Event()
         for follower in self.followers.values():
             follower.on_applied = self.tables_changed
-        runner = StatementRunner(self.directory, log)
+        self.account_limits = AccountLimits(
+            settings.accounts, self.declared_accounts, self.members, log, rng
+        )
+        runner = StatementRunner(self.directory, log, self.account_limits)
         self.router = HomeRouter(
             runner, self.homes, log, self.followers, detect_dead_peer
         )
+        self.account_limits.router = self.router
+        self.router.on_grant = self.account_limits.grant_received
         self.store_hints = StoreHints(
             self.router, self.members, self.store_health, rng
         )
@@ -189,6 +197,7 @@
             log,
             detect_dead_peer,
             self.table_publisher,
+            self.account_limits,
         )
         # Unique per process, so that a restarted process does not treat the
         # claim of its predecessor on this VM as its own.
@@ -248,6 +257,11 @@
         self.table_applied.set()
         self.table_applied = asyncio.Event()
 
+    def declared_accounts(self) -> Mapping[str, AccountSpec] | None:
+        """Return the declared client accounts by name, or None."""
+        declarations = self.directory.declarations
+        return declarations.accounts if declarations else None
+
     def is_home(self) -> bool:
         """Return whether this proxy is a home of at least one group."""
         declarations = self.directory.declarations
@@ -273,6 +287,7 @@
         await self.members.start(self.timer)
         for follower in self.followers.values():
             await follower.start()
+        await self.account_limits.start(self.timer)
         await self.home_server.start()
         await self.table_publisher.start(self.timer)
         await self.upstream_selector.start(self.timer)
@@ -331,6 +346,7 @@
         await self.upstream_selector.close()
         await self.store_hints.close()
         await self.table_publisher.close()
+        await self.account_limits.close()
         await self.router.close()
         await self.home_server.close()
         for follower in self.followers.values():
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -6,6 +6,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.account_limits import AccountLimits
 from jackdawcrank.relay.await_reply import await_reply, await_result
 from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.connection_pool import ConnectionPool, WaitLimitExceeded
@@ -29,6 +30,7 @@
     OpenFailure,
     ServerConnection,
 )
+from jackdawcrank_policy.accounts.account_allowance import Admission
 from jackdawcrank_policy.catalog import Consistency, DatabaseSpec
 from jackdawcrank_policy.values.position import Position
 from jackdawcrank_policy.waiting import OVERLOAD_WAIT_SHARE, WaitLimits
@@ -53,6 +55,17 @@
 CONNECTION_LOST = "connection lost"
 ANSWER_LOST = "answer lost"
 DEADLINE_EXCEEDED = "out of time"
+# Reasons for the failure of an attempt that a server received.
+RECEIVED = frozenset(
+    {
+        SILENT,
+        CONNECTION_LOST,
+        ANSWER_LOST,
+        DEADLINE_EXCEEDED,
+        Problem.FAILED.value,
+        Problem.TIMED_OUT.value,
+    }
+)
 
 
 @attrs.define
@@ -71,6 +84,7 @@
         statement in time.
       server: Id of the server of the latest attempt.
       needed: The position that a replica needed in the latest attempt.
+      runs: Number of attempts that a server received and did not refuse.
     """
 
     deadline: float
@@ -82,6 +96,7 @@
     wait_limit_exceeded: bool = False
     server: str = ""
     needed: Position | None = None
+    runs: int = 0
 
 
 class StatementRunner:
@@ -90,11 +105,18 @@
     Attributes:
       directory: Resolves databases.
       log: Receives the decisions.
+      limits: Limits the operations of client accounts; None if there is none.
     """
 
-    def __init__(self, directory: Resolver, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        directory: Resolver,
+        log: DecisionLog,
+        limits: AccountLimits | None = None,
+    ) -> None:
         self.directory = directory
         self.log = log
+        self.limits = limits
         self.loop = asyncio.get_running_loop()
 
     async def run_single(
@@ -109,20 +131,74 @@
         spec, group = resolved(session)
         now = self.loop.time()
         attempts = Attempts(now + spec.statement_timeout_seconds, now)
+        admission = await self.admit(session, execution, attempts)
+        if isinstance(admission, Reply):
+            return admission
         while self.can_retry(group, attempts):
             attempts.count += 1
             if execution.writes:
                 reply = await self.try_write(session, execution, attempts)
             else:
                 reply = await self.try_read(session, execution, attempts)
+            self.count_run(admission, attempts, reply is not None)
             if reply is not None:
                 self.log_result(session, execution, attempts, reply)
                 return reply
             await self.pause(attempts)
+        self.end_admission(admission, attempts)
         reply = Reply(problem=Problem.BUSY, detail=attempts.reason)
         self.log_result(session, execution, attempts, reply)
         return reply
 
+    async def admit(
+        self,
+        session: SessionView,
+        execution: Execution | None,
+        attempts: Attempts,
+    ) -> Admission | Reply | None:
+        """Admit an operation of a client account within its limit.
+
+        Returns:
+          The admission, the reply that refuses it, or None if the operation
+          is not limited.
+        """
+        if not session.account or self.limits is None:
+            return None
+        admission = await self.limits.admit(
+            session.account,
+            execution.request_id if execution else "",
+            attempts.deadline - self.loop.time(),
+        )
+        if isinstance(admission, Reply):
+            seconds = self.loop.time() - attempts.started_at
+            self.log.measurements.answered(
+                session.database, Problem.BUSY.value, seconds
+            )
+        return admission
+
+    def count_run(
+        self, admission: Admission | None, attempts: Attempts, ended: bool
+    ) -> None:
+        """Count an attempt that a server received.
+
+        Args:
+          admission: The operation's admission; None if it is not limited.
+          attempts: The attempts including the one that was made.
+          ended: Whether the attempt ended the operation.
+        """
+        if not ended and attempts.reason not in RECEIVED:
+            return
+        attempts.runs += 1
+        if admission is not None and self.limits and attempts.runs > 1:
+            self.limits.ran_again(admission)
+
+    def end_admission(
+        self, admission: Admission | None, attempts: Attempts
+    ) -> None:
+        """Give back the token of an operation that no server received."""
+        if admission is not None and self.limits and not attempts.runs:
+            self.limits.give_back(admission)
+
     def can_retry(self, group: GroupRelay, attempts: Attempts) -> bool:
         """Return whether another attempt may succeed."""
         if (
@@ -435,12 +511,17 @@
         spec, group = resolved(session)
         now = self.loop.time()
         attempts = Attempts(now + spec.statement_timeout_seconds, now)
+        admission = await self.admit(session, execution, attempts)
+        if isinstance(admission, Reply):
+            return admission
         while self.can_retry(group, attempts):
             attempts.count += 1
             opened = await self.try_begin(session, execution, attempts)
+            self.count_run(admission, attempts, opened is not None)
             if opened is not None:
                 return opened
             await self.pause(attempts)
+        self.end_admission(admission, attempts)
         request_id = execution.request_id if execution else ""
         self.log.event(
             "transaction_refused",
