--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/account_counter.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/account_counter.py
@@ -50,6 +50,19 @@
         """The size of the bucket."""
         return self.burst + SLACK_PART * self.slack
 
+    def part(self, share: float) -> "AccountLimit":
+        """Return the limit of a part of the fleet.
+
+        Args:
+          share: The share of the limit, from 0 to 1.
+        """
+        return attrs.evolve(
+            self,
+            rate=self.rate * share,
+            burst=self.burst * share,
+            slack=self.slack * share,
+        )
+
     def isolated_operations(self, vms: int) -> int:
         """Return what a VM may run in a window without a counting VM.
 
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/account_counters.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/account_counters.py
@@ -8,7 +8,7 @@
     AccountCounter,
     AccountLimit,
 )
-from jackdawcrank_policy.accounts.counting_votes import CountingVotes
+from jackdawcrank_policy.accounts.counting_contacts import CountingContacts
 
 
 @attrs.frozen
@@ -59,14 +59,14 @@
     Times are in seconds since boot.
 
     Attributes:
-      votes: Decide which accounts this VM counts.
+      contacts: Decide which accounts this VM counts, and for which share.
       counters: The counters by account.
       on_counting: Called with a new counter and its account after its first
         request.
     """
 
-    def __init__(self, votes: CountingVotes) -> None:
-        self.votes = votes
+    def __init__(self, contacts: CountingContacts) -> None:
+        self.contacts = contacts
         self.counters: dict[str, AccountCounter] = {}
         self.on_counting: Callable[[str, AccountCounter], None] = (
             lambda _account, _counter: None
@@ -87,11 +87,12 @@
           ranked: The candidates in the order in which they count it.
           now: The current time.
         """
-        since = self.votes.counting_since(ranked, now)
+        since = self.contacts.counting_since(ranked, now)
         counter = self.counters.get(account)
         if since is None:
             self.counters.pop(account, None)
             return None
+        limit = limit.part(self.contacts.share(ranked, now))
         if counter is None or since > counter.confirmed_at:
             # Another VM may have counted the account in the meantime.
             counter = AccountCounter(limit, since, now)
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/counting_vms.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/counting_vms.py
@@ -3,22 +3,28 @@
 import math
 from collections.abc import Iterable, Sequence
 
+from jackdawcrank_policy.homes.home_plan import region_homes
 from jackdawcrank_policy.homes.home_vms import vm_weight
 from jackdawcrank_policy.homes.member import Member
 
 MIN_CANDIDATES = 3
-VMS_PER_CANDIDATE = 16
+# Messages between candidates grow with the square of their number.
+VMS_PER_CANDIDATE = 32
+# All VMs must choose the same candidates.
+RANKING_KEY = ""
 
 
 def counting_candidates(members: Iterable[Member]) -> tuple[str, ...]:
     """Return the names of the VMs that may count: the largest ones.
 
+    Data centres alternate, so that the loss of one leaves most candidates.
+
     Args:
       members: All VMs.
     """
-    ranked = sorted(members, key=lambda one: (-one.capacity, one.vm))
-    count = max(MIN_CANDIDATES, math.ceil(len(ranked) / VMS_PER_CANDIDATE))
-    return tuple(one.vm for one in ranked[:count])
+    known = list(members)
+    count = max(MIN_CANDIDATES, math.ceil(len(known) / VMS_PER_CANDIDATE))
+    return tuple(one.vm for one in region_homes(RANKING_KEY, known, count))
 
 
 def ranked_candidates(
--- /dev/null
+++ b/packages/jackdawcrank-policy/tests/accounts/test_counting_contacts.py
@@ -0,0 +1,137 @@
+import pytest
+
+from jackdawcrank_policy.accounts.counting_contacts import (
+    LOST_SECONDS,
+    CountingContacts,
+)
+from jackdawcrank_policy.accounts.counting_vms import (
+    counting_candidates,
+    ranked_candidates,
+)
+from jackdawcrank_policy.homes import Member
+
+RANKED = tuple(f"vm{one}" for one in range(5))
+STEP = 0.2
+
+
+class Fleet:
+    """Candidates whose messages arrive at once, unless a link is cut."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.vms = {vm: CountingContacts(vm, 0.0) for vm in RANKED}
+        self.cut: set[frozenset[str]] = set()
+        self.stopped: set[str] = set()
+        self.run(2.0)
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP
+            for vm, one in self.vms.items():
+                if vm in self.stopped:
+                    continue
+                one.check_pause(STEP, self.now)
+                for other in self.vms.keys() - {vm} - self.stopped:
+                    if frozenset({vm, other}) not in self.cut:
+                        lost = self.vms[other].lost(RANKED, self.now)
+                        one.answer_received(other, self.now, lost)
+
+    def split(self, *parts: tuple[str, ...]) -> None:
+        side = {vm: number for number, part in enumerate(parts) for vm in part}
+        self.cut = {
+            frozenset({one, other})
+            for one in RANKED
+            for other in RANKED
+            if side[one] != side[other]
+        }
+
+    def counting(self) -> dict[str, float]:
+        """Return the shares of the VMs that count."""
+        return {
+            vm: one.share(RANKED, self.now)
+            for vm, one in self.vms.items()
+            if vm not in self.stopped
+            and one.counting_since(RANKED, self.now) is not None
+        }
+
+
+def test_the_first_candidate_counts_the_whole_limit() -> None:
+    assert Fleet().counting() == {"vm0": 1.0}
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (("vm0",), RANKED[1:]),
+        (RANKED[:2], RANKED[2:]),
+        (("vm0", "vm4"), ("vm1", "vm3"), ("vm2",)),
+        tuple((vm,) for vm in RANKED),
+    ],
+)
+def test_parts_of_a_divided_fleet_count_one_limit_together(
+    parts: tuple[tuple[str, ...], ...],
+) -> None:
+    """Each part would otherwise grant the whole limit."""
+    fleet = Fleet()
+    fleet.split(*parts)
+    for _ in range(10):
+        fleet.run(STEP)
+        assert sum(fleet.counting().values()) <= 1.0 + 1e-9
+    assert len(fleet.counting()) == len(parts)
+    fleet.cut = set()
+    fleet.run(STEP)
+    assert fleet.counting() == {"vm0": 1.0}
+
+
+def test_a_single_silent_link_starts_no_second_counter() -> None:
+    """Other candidates still hear the VM that counts."""
+    fleet = Fleet()
+    fleet.cut = {frozenset({"vm0", "vm1"})}
+    fleet.run(3.0)
+    assert list(fleet.counting()) == ["vm0"]
+
+
+def test_a_stopped_vm_is_replaced_for_the_remaining_share() -> None:
+    fleet = Fleet()
+    fleet.stopped = {"vm0"}
+    fleet.run(LOST_SECONDS - STEP)
+    assert fleet.counting() == {}
+    fleet.run(3 * STEP)
+    assert fleet.counting() == {"vm1": 0.8}
+
+
+def test_a_leaving_vm_hands_over_at_once() -> None:
+    """An account would be refused until the VM is taken for lost."""
+    fleet = Fleet()
+    fleet.vms["vm0"].leaving = True
+    assert fleet.counting() == {}
+    fleet.run(2 * STEP)
+    assert fleet.counting() == {"vm1": 1.0}
+
+
+def test_a_paused_vm_begins_anew() -> None:
+    """Another VM may have counted during the pause."""
+    fleet = Fleet()
+    fleet.stopped = {"vm0"}
+    fleet.run(2.0)
+    fleet.stopped = set()
+    fleet.run(STEP)
+    since = fleet.vms["vm0"].counting_since(RANKED, fleet.now)
+    assert since is None
+    fleet.run(LOST_SECONDS + STEP)
+    assert fleet.counting() == {"vm0": 1.0}
+
+
+def test_the_largest_vms_count_in_the_same_order_everywhere() -> None:
+    """VMs that disagree would ask different counting VMs."""
+    members = [
+        Member(f"vm{one}", "", 1, "", "", 2.0 if one % 12 == 0 else 0.4)
+        for one in range(144)
+    ]
+    candidates = counting_candidates(members)
+    assert len(candidates) == 5
+    assert candidates == counting_candidates(reversed(members))
+    assert all(int(vm[2:]) % 12 == 0 for vm in candidates)
+    orders = {ranked_candidates(f"a{one}", candidates) for one in range(50)}
+    assert {one[0] for one in orders} == set(candidates)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
@@ -31,11 +31,11 @@
     TokenGrant,
     TokenRequest,
 )
+from jackdawcrank_policy.accounts.counting_contacts import CountingContacts
 from jackdawcrank_policy.accounts.counting_vms import (
     counting_candidates,
     ranked_candidates,
 )
-from jackdawcrank_policy.accounts.counting_votes import CountingVotes
 from jackdawcrank_policy.catalog import AccountSpec
 from jackdawcrank_policy.homes import Member
 
@@ -56,8 +56,11 @@
 # Requests to one VM are at least this far apart, and hold this many accounts.
 BATCH_SECONDS = 0.02
 MAX_ACCOUNTS = 256
-# Interval of votes; a vote is used for 0.4 s.
-VOTE_INTERVAL_SECONDS = 0.1
+# Interval at which tokens are reported and unused state is dropped.
+TICK_SECONDS = 0.1
+# Interval of messages between the candidates; a third of the time after which
+# one that does not answer is taken for lost.
+CONTACT_INTERVAL_SECONDS = 0.2
 REPORT_INTERVAL_SECONDS = 0.25
 # Used and returned tokens are reported within this: until then they count
 # towards the size of the bucket.
@@ -122,6 +125,7 @@
         by account; the requests by VM and the time when they were sent.
       sent_at: When the last request to each VM was sent.
       answered_at: When the last message of each VM arrived.
+      contacted_at: When the other candidates were last sent a message.
       passed_over: Until when each VM that did not answer is not asked.
     """
 
@@ -144,7 +148,7 @@
         self.own = members.own.vm
         self.router: HomeRouter | None = None
         self.counters = AccountCounters(
-            CountingVotes(self.own, self.started_at)
+            CountingContacts(self.own, self.started_at)
         )
         self.counters.on_counting = self.log_counting
         self.states: dict[str, AccountState] = {}
@@ -154,6 +158,7 @@
         self.sent_at: dict[str, float] = {}
         self.passed_over: dict[str, float] = {}
         self.usage_logged_at = self.started_at
+        self.contacted_at = 0.0
         self.flush_handle: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[typing.Any]] = set()
         self.subscription: Subscription | None = None
@@ -162,15 +167,19 @@
         self.rankings: dict[str, tuple[str, ...]] = {}
 
     async def start(self, timer: Timer) -> None:
-        """Start to exchange votes and reports.
+        """Start to keep contact and to report.
 
         Args:
           timer: Schedules them.
         """
         self.subscription = timer.subscribe(
-            "account limits", VOTE_INTERVAL_SECONDS, self.tick
+            "account limits", TICK_SECONDS, self.tick
         )
 
+    def leave(self) -> None:
+        """Leave the counting of accounts to other VMs from now on."""
+        self.counters.contacts.leaving = True
+
     async def close(self) -> None:
         """Stop, and refuse the operations that wait."""
         if self.subscription:
@@ -495,9 +504,7 @@
         self.in_flight[vm, now] = {one.account: one.wanted for one in requests}
         entries = [list(attrs.astuple(one)) for one in requests]
         self.sent_at[vm] = now
-        stream.send(
-            pack(0, Kind.ALLOWANCE_REQUEST, self.own, entries, now, False)
-        )
+        stream.send(pack(0, Kind.ALLOWANCE_REQUEST, self.own, entries, now))
 
     def request_received(self, fields: Fields) -> bytes:
         """Return the answer to a request of another VM.
@@ -509,12 +516,10 @@
           ValueError: The message is malformed.
           TypeError: A field has the wrong type.
         """
-        vm, entries, asked_at, asks_vote = fields
+        vm, entries, asked_at = fields
         now = self.clock()
         self.ranked("")
-        lost = None
-        if asks_vote:
-            lost = self.counters.votes.vote_for(vm, self.candidates, now)
+        lost = self.counters.contacts.lost(self.candidates, now)
         grants = []
         for entry in entries[:MAX_ACCOUNTS]:
             request = TokenRequest(*entry)
@@ -541,8 +546,7 @@
         vm, entries, asked_at, lost = fields
         now = self.clock()
         self.passed_over.pop(vm, None)
-        if lost is not None:
-            self.counters.votes.vote_received(vm, asked_at, lost, now)
+        self.counters.contacts.answer_received(vm, asked_at, lost)
         self.answered_at[vm] = now
         self.end_request(vm, asked_at)
         for entry in entries:
@@ -579,7 +583,7 @@
             self.unsent[grant.account] = None
 
     async def tick(self, _now: float) -> None:
-        """Ask for votes, report and drop unused state.
+        """Keep contact with the candidates, report and drop unused state.
 
         Args:
           _now: The timer's time; not used.
@@ -590,8 +594,13 @@
             return
         now = self.clock()
         self.ranked("")
-        if self.own in self.candidates:
-            self.ask_votes(now)
+        self.counters.contacts.check_pause(TICK_SECONDS, now)
+        if (
+            self.own in self.candidates
+            and now - self.contacted_at >= CONTACT_INTERVAL_SECONDS
+        ):
+            self.contacted_at = now
+            self.contact_candidates(now)
         self.counters.maintain(self.limit, self.ranked, now)
         for account, state in list(self.states.items()):
             idle = state.allowance.idle(self.bounds.window_seconds, now)
@@ -618,14 +627,14 @@
             allowance.operations(window, now) or allowance.lots
         )
 
-    def ask_votes(self, now: float) -> None:
-        """Ask the other candidates for their votes."""
+    def contact_candidates(self, now: float) -> None:
+        """Send a message without entries to each other candidate."""
         for vm in self.candidates:
             if vm != self.own and self.connected(vm) and self.router:
                 stream = self.router.stream_to(vm)
                 if stream is not None:
                     stream.send(
-                        pack(0, Kind.ALLOWANCE_REQUEST, self.own, [], now, True)
+                        pack(0, Kind.ALLOWANCE_REQUEST, self.own, [], now)
                     )
 
     def log_counting(self, account: str, counter: AccountCounter) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
@@ -249,7 +249,7 @@
     def unknown_database(self) -> Reply:
         """Return the error reply for a database that is not declared."""
         return self.refuse(
-            Problem.UNKNOWN_DATABASE, f"no database {self.database!r}"
+            Problem.UNKNOWN_DATABASE, "there is no such database"
         )
 
     def record_position(self, position: Position | None) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -336,7 +336,8 @@
         if found is None:
             return Reply(
                 problem=Problem.UNKNOWN_DATABASE,
-                detail=f"no database {database!r}",
+                # A caller may have sent its key in place of the name.
+                detail="there is no such database",
             )
         session = CallerSession(database, self.directory, self.router, self.log)
         session.key_digest = key_digest
@@ -358,6 +359,7 @@
 
     async def stop(self) -> None:
         """Shut down gracefully, then close every component."""
+        self.account_limits.leave()
         await self.graceful_shutdown.drain()
         await self.close()
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -232,9 +232,7 @@
         self.probe_seconds = limit_seconds * PROBE_SHARE
         self.connected_probe_seconds = limit_seconds * CONNECTED_PROBE_SHARE
         self.settle_seconds = min(
-            limit_seconds * SETTLE_SHARE,
-            MAX_SETTLE_SECONDS,
-            longest_wait_seconds,
+            limit_seconds * SETTLE_SHARE, MAX_SETTLE_SECONDS
         )
 
     async def start(self) -> None:
