--- /dev/null
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about client accounts."""
