--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
@@ -1,8 +1,9 @@
 """Pool of this proxy's connections to one backend server."""
 
 import asyncio
+import collections
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 import attrs
 
@@ -19,15 +20,29 @@
     OpenFailure,
     ServerConnection,
 )
+from jackdawcrank_policy.accounts.connection_choice import (
+    REUSE_SECONDS,
+    AccountUse,
+    WaitingRequest,
+    choose_control,
+    choose_eviction,
+    choose_idle,
+    choose_waiter,
+    fair_share,
+    may_evict,
+)
 from jackdawcrank_policy.catalog import ListedServer
 from jackdawcrank_policy.placement import ServerCondition
 from jackdawcrank_policy.sessions import SessionContext
 from jackdawcrank_policy.waiting import (
     OverloadDetector,
-    PriorityWaitQueue,
     WaitEstimator,
     WaitLimits,
 )
+from jackdawcrank_policy.waiting.fair_wait_queue import (
+    FairWaitEntry,
+    FairWaitQueue,
+)
 
 # Exceeds two round trips between regions (40 ms each), a handshake that waits
 # for slots of a full server (27 ms each) and a delayed packet.
@@ -44,6 +59,9 @@
 # A handshake occupies one of the server's slots (3 to 6) for 12 to 27 ms, and
 # many proxies connect at the same time when all of them start.
 MAX_OPENING = 1
+# Each account needs connections of its own. Two at a time take half of the
+# slots of a server that has 4.
+MAX_OPENING_FOR_ACCOUNTS = 2
 
 OpenResult = ServerConnection | NotOpened
 
@@ -59,10 +77,12 @@
 
     Attributes:
       account: The client account that needs the connection; empty for none.
+      since: When it began to wait, in seconds on the loop's clock.
       granted: Receives the connection, or why none was opened.
     """
 
     account: str
+    since: float
     granted: asyncio.Future[OpenResult]
 
 
@@ -79,9 +99,49 @@
     since: float
 
 
+Waiter = FairWaitEntry[ConnectionRequest]
+
+
+class AccountShares:
+    """The connections that accounts hold and their shares, at one moment.
+
+    Attributes:
+      pool: The pool.
+    """
+
+    def __init__(self, pool: "ConnectionPool") -> None:
+        self.pool = pool
+
+    @functools.cached_property
+    def held(self) -> collections.Counter[str]:
+        """The number of connections in use and being opened, by account."""
+        held = collections.Counter(one.account for one in self.pool.in_use)
+        held.update(self.pool.opening_for)
+        return held
+
+    @functools.cached_property
+    def active(self) -> int:
+        """The number of accounts that hold connections or wait for one."""
+        waiting = self.pool.queue.waiting_accounts()
+        return max(1, len(waiting | self.held.keys()))
+
+    def holds_connections(self, account: str) -> bool:
+        """Return whether an account holds its share of the connections."""
+        share = fair_share(self.pool.limit, self.active)
+        return self.held[account] >= share
+
+    def holds_slots(self, account: str) -> bool:
+        """Return whether an account can fill its share of the limiter."""
+        share = fair_share(self.pool.limiter.window.size, self.active)
+        return self.held[account] >= share
+
+
 class ConnectionPool:
     """Connection pool of one server, with a queue ordered by priority.
 
+    Each connection belongs to one client account, or to callers without one.
+    The requests of one priority are served fairly by account.
+
     Attributes:
       server: The server's latest report.
       opener: Opens connections.
@@ -90,6 +150,8 @@
       idle: Idle connections, the most recently used last.
       count: Number of connections that are open or being opened.
       opening: Number of connections that are being opened.
+      opening_for: Their number by account.
+      account_use: The recent use of connections by account.
       full_until: No connection is opened before this time, in seconds on the
         loop's clock, because the server was full.
       in_use: The time at which each connection in use was checked out, in
@@ -123,6 +185,8 @@
         self.idle: list[IdleConnection] = []
         self.count = 0
         self.opening = 0
+        self.opening_for: collections.Counter[str] = collections.Counter()
+        self.account_use = AccountUse()
         self.full_until = 0.0
         self.limiter = StatementLimiter(
             max(MIN_WINDOW, window), limit, log.measurements.waited
@@ -131,7 +195,7 @@
         self.wait_estimator = WaitEstimator()
         self.overload_detector = OverloadDetector()
         self.in_use: dict[ServerConnection, float] = {}
-        self.queue: PriorityWaitQueue[ConnectionRequest] = PriorityWaitQueue()
+        self.queue: FairWaitQueue[ConnectionRequest] = FairWaitQueue()
         self.retired = False
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
@@ -160,7 +224,12 @@
         # The connection is acquired before the limiter, since a statement that
         # the limiter has admitted must not wait for a connection: transactions
         # keep their connections while their statements wait for the limiter.
-        if await self.limiter.enter(limits) is LimiterResult.GRANTED:
+        try:
+            result = await self.limiter.enter(limits, account)
+        except asyncio.CancelledError:
+            self.release(granted)
+            raise
+        if result is LimiterResult.GRANTED:
             self.executing[granted] = self.loop.time()
             return granted
         self.release(granted)
@@ -177,13 +246,13 @@
         connection = self.take_idle(context, account)
         if connection is not None:
             return self.check_out(connection)
-        ahead = self.queue.ahead_of(limits.priority)
+        ahead = self.queue.ahead_of(limits.priority, account)
         wait = self.wait_estimator.wait_seconds(ahead, self.limit)
         if self.count >= self.limit and now + wait >= deadline:
             return WaitLimitExceeded()
         granted: asyncio.Future[OpenResult] = self.loop.create_future()
-        request = ConnectionRequest(account, granted)
-        waiter = self.queue.enqueue(limits.priority, deadline, request)
+        request = ConnectionRequest(account, now, granted)
+        waiter = self.queue.enqueue(limits.priority, deadline, request, account)
         self.open_more()
         try:
             async with asyncio.timeout_at(deadline):
@@ -192,19 +261,32 @@
             if granted.done() and not granted.cancelled():
                 return self.check_out(granted.result())
             return WaitLimitExceeded()
+        except asyncio.CancelledError:
+            if granted.done() and not granted.cancelled():
+                result = granted.result()
+                if not isinstance(result, NotOpened):
+                    self.release(result)
+            raise
         finally:
             self.queue.cancel(waiter)
 
     def check_out(self, granted: OpenResult) -> OpenResult:
         """Record that a connection is in use from now on."""
         if not isinstance(granted, NotOpened):
-            self.in_use[granted] = self.loop.time()
+            now = self.loop.time()
+            self.in_use[granted] = now
+            if granted.account:
+                self.account_use.record(granted.account, now)
             self.condition.running = len(self.in_use)
         return granted
 
     def check_in(self, connection: ServerConnection) -> None:
         """Record that a connection is no longer in use."""
-        self.end_statement(connection)
+        ended = self.leave_limiter(connection)
+        # Otherwise a connection would be opened, and an idle one closed, for a
+        # request that may get this connection.
+        if ended and not connection.account and not self.queue.has_accounts():
+            self.open_more()
         used_since = self.in_use.pop(connection, None)
         if used_since is not None:
             self.wait_estimator.record_hold(self.loop.time() - used_since)
@@ -212,13 +294,19 @@
 
     def end_statement(self, connection: ServerConnection) -> None:
         """Record that a connection in use has no statement in flight."""
-        sent_at = self.executing.pop(connection, None)
-        if sent_at is not None:
-            self.limiter.leave(self.loop.time() - sent_at)
+        if self.leave_limiter(connection):
             self.open_more()
 
+    def leave_limiter(self, connection: ServerConnection) -> bool:
+        """Record that a statement has ended; return whether one was in flight."""
+        sent_at = self.executing.pop(connection, None)
+        if sent_at is None:
+            return False
+        self.limiter.leave(self.loop.time() - sent_at)
+        return True
+
     async def begin_statement(
-        self, connection: ServerConnection, deadline: float
+        self, connection: ServerConnection, deadline: float, account: str = ""
     ) -> bool:
         """Wait until a transaction's next statement may be sent.
 
@@ -228,12 +316,16 @@
         Args:
           connection: The transaction's connection.
           deadline: End of the wait, in seconds on the loop's clock.
+          account: The client account of the statement; that of the connection
+            if empty.
         """
         limits = WaitLimits(TRANSACTION_PRIORITY, deadline, deadline)
-        if await self.limiter.enter(limits) is not LimiterResult.GRANTED:
+        result = await self.limiter.enter(limits, account or connection.account)
+        if result is not LimiterResult.GRANTED:
             return False
         if connection not in self.in_use:
             self.limiter.leave(0.0)
+            self.open_more()
             return False
         self.executing[connection] = self.loop.time()
         return True
@@ -264,8 +356,8 @@
         Args:
           timeout_seconds: Time limit for opening a connection.
         """
-        while self.idle:
-            connection = self.take(-1)
+        while (index := choose_control(self.idle_accounts())) is not None:
+            connection = self.take(index)
             if not connection.closed:
                 return connection
             self.count -= 1
@@ -279,27 +371,24 @@
     ) -> ServerConnection | None:
         """Return an account's idle connection that needs the least setup."""
         while True:
-            usable = [
-                index
-                for index, one in enumerate(self.idle)
-                if one.connection.account == account
-            ]
-            if not usable:
-                return None
-            best = min(
-                usable,
-                key=lambda index: (
-                    self.idle[index].connection.context.count_differences(
-                        context
-                    ),
-                    -index,
-                ),
+            index = choose_idle(
+                self.idle_accounts(),
+                account,
+                lambda index: self.idle[
+                    index
+                ].connection.context.count_differences(context),
             )
-            connection = self.take(best)
+            if index is None:
+                return None
+            connection = self.take(index)
             if not connection.closed:
                 return connection
             self.count -= 1
 
+    def idle_accounts(self) -> list[str]:
+        """Return the accounts of the idle connections, in their order."""
+        return [one.connection.account for one in self.idle]
+
     def take(self, index: int) -> ServerConnection:
         """Remove a connection from the idle ones and return it."""
         connection = self.idle.pop(index).connection
@@ -312,6 +401,7 @@
         self.count -= len(self.idle) - len(kept)
         self.idle = kept
         self.on_lost()
+        self.open_more()
 
     def release(self, connection: ServerConnection) -> None:
         """Return a connection to the pool.
@@ -339,19 +429,9 @@
         ):
             self.discard(connection)
             return
-        now = self.loop.time()
-        while (waiter := self.queue.head(now)) is not None:
-            request = waiter.item
-            if request.account != connection.account:
-                break
-            self.queue.pop(now)
-            if not request.granted.done():
-                request.granted.set_result(connection)
-                return
-        self.idle.append(IdleConnection(connection, now))
+        self.idle.append(IdleConnection(connection, self.loop.time()))
         connection.on_closed = functools.partial(self.idle_closed, connection)
-        if waiter is not None:
-            self.open_more()
+        self.open_more()
 
     def discard(self, connection: ServerConnection) -> None:
         """Close a connection that cannot be reused.
@@ -365,26 +445,150 @@
         self.open_more()
 
     def open_more(self) -> None:
-        """Open a connection if a request waits that could use it now."""
-        if self.retired or self.loop.time() < self.full_until:
-            return
-        # A request with a new connection would only wait for the limiter.
-        if not self.limiter.has_room():
-            return
-        waiter = self.queue.head(self.loop.time())
-        if waiter is None or self.opening >= MAX_OPENING:
+        """Serve waiting requests, and open connections that they could use."""
+        while self.serve_next():
+            pass
+
+    def serve_next(self) -> bool:
+        """Give away one idle connection or start to open one.
+
+        Returns:
+          Whether more requests may be served now.
+        """
+        if self.retired or not self.queue.length:
+            return False
+        now = self.loop.time()
+        shares = AccountShares(self)
+        waiter = self.next_waiter(now, shares)
+        if waiter is None:
+            return False
+        index = choose_idle(
+            self.idle_accounts(), waiter.account, lambda _index: 0
+        )
+        if index is not None:
+            self.grant(waiter, index)
+            return False
+        can_open = self.can_open_for(waiter, now, shares)
+        if can_open and self.count < self.limit:
+            self.start_opening(waiter.account)
+            return True
+        holds_share = shares.holds_connections(waiter.account)
+        request = waiting_request(waiter, now)
+        if self.serve_own(request, can_open, holds_share, now):
+            return False
+        if not can_open or not may_evict(request, holds_share):
+            return False
+        return self.replace_idle(waiter.account)
+
+    def replace_idle(self, account: str) -> bool:
+        """Close an idle connection and start to open one for an account.
+
+        Returns False if no connection is idle or the pool has too many.
+
+        Args:
+          account: The client account; no idle connection is of it.
+        """
+        index = choose_eviction(self.idle_accounts(), self.account_use.counts)
+        if index is None or self.count > self.limit:
+            return False
+        self.take(index).close()
+        self.count -= 1
+        self.start_opening(account)
+        return True
+
+    def next_waiter(self, now: float, shares: AccountShares) -> Waiter | None:
+        """Return the request to serve next, or None.
+
+        It is the first one that an idle connection serves or that no
+        connection is being opened for. While all connections are open, requests
+        of accounts that hold their share of them come last: they get those that
+        their accounts return.
+        """
+        if not self.queue.has_accounts() and not self.opening:
+            return self.queue.head(now)
+        opening = self.opening_for.copy()
+        idle = set(self.idle_accounts())
+        with_share = None
+        for waiter in self.queue.in_order(now):
+            account = waiter.account
+            if account in idle:
+                return waiter
+            if opening[account] > 0:
+                opening[account] -= 1
+            elif self.count < self.limit or not shares.holds_connections(
+                account
+            ):
+                return waiter
+            elif with_share is None:
+                with_share = waiter
+        return with_share
+
+    def grant(self, waiter: Waiter, index: int) -> None:
+        """Pass an idle connection to a waiting request of its account."""
+        by_account = self.queue.has_accounts()
+        if waiter.item.granted.done():
+            # The request was cancelled and has not left the queue yet.
+            self.queue.cancel(waiter)
+            self.loop.call_soon(self.open_more)
             return
-        if self.count >= self.limit and self.idle:
-            # It belongs to another account, or it would have been used.
-            self.take(0).close()
+        connection = self.take(index)
+        if connection.closed:
             self.count -= 1
-        if self.count < self.limit:
-            self.start_opening(waiter.item.account)
+            self.loop.call_soon(self.open_more)
+            return
+        self.queue.serve(waiter)
+        waiter.item.granted.set_result(connection)
+        if by_account:
+            # The request enters the limiter first.
+            self.loop.call_soon(self.open_more)
+
+    def serve_own(
+        self,
+        first: WaitingRequest,
+        can_open: bool,
+        holds_share: bool,
+        now: float,
+    ) -> bool:
+        """Serve a request of an idle connection's account before the first.
+
+        Args:
+          first: The next request; no idle connection is of its account.
+          can_open: Whether a connection may be opened for it.
+          holds_share: Whether its account holds its share of the connections.
+          now: The current time, in seconds on the loop's clock.
+        """
+        for index in reversed(range(len(self.idle))):
+            own = self.queue.head_of(self.idle[index].connection.account, now)
+            request = waiting_request(own, now) if own else None
+            chosen = choose_waiter(first, request, can_open, holds_share)
+            if own is not None and chosen is not None:
+                self.grant(own, index)
+                return True
+        return False
+
+    def can_open_for(
+        self, waiter: Waiter, now: float, shares: AccountShares
+    ) -> bool:
+        """Return whether a connection may be opened for a request now."""
+        if now < self.full_until:
+            return False
+        if not self.queue.has_accounts():
+            # A request with a new connection would only wait for the limiter.
+            return self.opening < MAX_OPENING and self.limiter.has_room()
+        if self.opening >= MAX_OPENING_FOR_ACCOUNTS:
+            return False
+        # The limiter may be filled by other accounts for as long as they send
+        # statements.
+        return self.limiter.has_room() or (
+            now - waiter.item.since >= REUSE_SECONDS
+            and not shares.holds_slots(waiter.account)
+        )
 
     def start_opening(self, account: str) -> None:
         """Start to open one connection for an account."""
         self.count += 1
         self.opening += 1
+        self.opening_for[account] += 1
         task = self.loop.create_task(self.open_one(account))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -400,6 +604,8 @@
             )
         finally:
             self.opening -= 1
+            self.opening_for[account] -= 1
+            self.opening_for += collections.Counter()
             if isinstance(outcome, NotOpened):
                 self.count -= 1
         if isinstance(outcome, NotOpened):
@@ -452,6 +658,19 @@
         while len(self.idle) > keep and self.idle[0].since < oldest:
             self.discard(self.take(0))
 
+    def close_undeclared(self, accounts: Container[str]) -> None:
+        """Close the idle connections of accounts that are not declared.
+
+        Args:
+          accounts: The names of the declared accounts.
+        """
+        for index in reversed(range(len(self.idle))):
+            account = self.idle[index].connection.account
+            if account and account not in accounts:
+                self.take(index).close()
+                self.count -= 1
+        self.open_more()
+
     def close_idle_connections(self) -> None:
         """Close all idle connections."""
         while self.idle:
@@ -471,3 +690,15 @@
         for waiting in self.queue.clear():
             if not waiting.granted.done():
                 waiting.granted.set_result(server_removed)
+
+
+def waiting_request(waiter: Waiter, now: float) -> WaitingRequest:
+    """Return a waiting request as the choices of policy see it.
+
+    Args:
+      waiter: Its entry in the queue.
+      now: The current time, in seconds on the loop's clock.
+    """
+    return WaitingRequest(
+        waiter.account, waiter.priority, now - waiter.item.since
+    )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
@@ -273,7 +273,8 @@
     ) -> HomeStream | None:
         """Return a stream to the best usable home, or None to run locally."""
         _, group = resolved(session)
-        for member in self.homes.forwarding_targets(group.group):
+        targets = self.homes.forwarding_targets(group.group, session.account)
+        for member in targets:
             if member.vm == self.homes.rows.own.vm:
                 return None
             stream = await self.connected_stream(member)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/homes.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/homes.py
@@ -71,21 +71,27 @@
         homes = self.ranked_members(group)[: plan.per_region]
         return any(one.vm == self.rows.own.vm for one in homes)
 
-    def forwarding_targets(self, group: ServedGroup) -> list[Member]:
+    def forwarding_targets(
+        self, group: ServedGroup, account: str = ""
+    ) -> list[Member]:
         """Return the VMs to forward a group's statements to, best first.
 
         Homes come before the VMs ranked next. Among the homes, those in this
         data centre come first; hashing with this VM's name then spreads the
-        load.
+        load. For a client account, hashing with its name alone orders them, so
+        that one home holds its server connections.
 
         Args:
           group: The group.
+          account: The client account; empty for none.
         """
         own = self.rows.own
         plan = self.plan(group)
         ranked_members = self.ranked_members(group)
 
         def preference(member: Member) -> tuple[bool, int]:
+            if account:
+                return False, -vm_weight(account, member.vm)
             in_other_data_center = member.data_center != own.data_center
             return in_other_data_center, -vm_weight(own.vm, member.vm)
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/pool_maintenance.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/pool_maintenance.py
@@ -38,6 +38,8 @@
         Args:
           _now: The timer's time in seconds.
         """
+        declarations = self.directory.declarations
+        accounts = (declarations and declarations.accounts) or {}
         for group in self.directory.groups.values():
             for pool in group.pools.values():
                 pool.limit = group.connection_limit()
@@ -45,6 +47,8 @@
                 if not group.homes.is_home(group.group):
                     # They were opened while this proxy was a home of the group.
                     pool.close_idle_connections()
+                if declarations is not None:
+                    pool.close_undeclared(accounts)
                 pool.trim(self.idle_target(group, pool))
 
     def idle_target(self, group: GroupRelay, pool: ConnectionPool) -> int:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_limiter.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_limiter.py
@@ -7,10 +7,10 @@
 from jackdawcrank_policy.waiting import (
     CongestionWindow,
     OverloadDetector,
-    PriorityWaitQueue,
     WaitEstimator,
     WaitLimits,
 )
+from jackdawcrank_policy.waiting.fair_wait_queue import FairWaitQueue
 
 # Open transactions hold locks and a connection, so their statements precede
 # new work, whose priorities begin at 0.
@@ -28,7 +28,8 @@
 class StatementLimiter:
     """Limits statements in flight by a congestion window.
 
-    Waiting statements are admitted in order of priority.
+    Waiting statements are admitted in order of priority, and within a priority
+    fairly by account.
 
     Attributes:
       window: Maximum number of statements in flight.
@@ -49,19 +50,20 @@
         self.on_wait = on_wait
         self.window = CongestionWindow(size, max_size)
         self.in_flight_count = 0
-        self.queue: PriorityWaitQueue[asyncio.Future[None]] = (
-            PriorityWaitQueue()
-        )
+        self.queue: FairWaitQueue[asyncio.Future[None]] = FairWaitQueue()
         self.wait_estimator = WaitEstimator()
         self.overload_detector = OverloadDetector()
         self.loop = asyncio.get_running_loop()
 
-    async def enter(self, limits: WaitLimits) -> LimiterResult:
+    async def enter(
+        self, limits: WaitLimits, account: str = ""
+    ) -> LimiterResult:
         """Wait until a statement may be sent.
 
         Args:
           limits: Priority and wait limits of the statement, in seconds on the
             loop's clock.
+          account: The client account of the statement; empty for none.
         """
         now = self.loop.time()
         deadline = self.overload_detector.wait_deadline(
@@ -70,18 +72,25 @@
         if self.has_room():
             self.in_flight_count += 1
             return LimiterResult.GRANTED
-        ahead = self.queue.ahead_of(limits.priority)
+        ahead = self.queue.ahead_of(limits.priority, account)
         wait = self.wait_estimator.wait_seconds(ahead, int(self.window.size))
         if now + wait >= deadline:
             return LimiterResult.WAIT_LIMIT_EXCEEDED
         admitted: asyncio.Future[None] = self.loop.create_future()
-        waiter = self.queue.enqueue(limits.priority, deadline, admitted)
+        waiter = self.queue.enqueue(
+            limits.priority, deadline, admitted, account
+        )
         try:
             async with asyncio.timeout_at(deadline):
                 await admitted
         except TimeoutError:
             if not admitted.done() or admitted.cancelled():
                 return LimiterResult.WAIT_LIMIT_EXCEEDED
+        except asyncio.CancelledError:
+            if admitted.done() and not admitted.cancelled():
+                self.in_flight_count -= 1
+                self.admit_waiting()
+            raise
         finally:
             self.queue.cancel(waiter)
             self.on_wait(wait, self.loop.time() - now)
