--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
@@ -61,7 +61,6 @@
 # Interval of messages between the candidates; a third of the time after which
 # one that does not answer is taken for lost.
 CONTACT_INTERVAL_SECONDS = 0.2
-REPORT_INTERVAL_SECONDS = 0.25
 # Used and returned tokens are reported within this: until then they count
 # towards the size of the bucket.
 USED_INTERVAL_SECONDS = 0.1
@@ -619,12 +618,8 @@
         """Return whether a report about an account must be sent."""
         allowance = state.allowance
         allowance.drop_expired(now)
-        age = now - state.reported_at
-        if allowance.reports or allowance.unpaid:
-            return age >= USED_INTERVAL_SECONDS
-        window = self.bounds.window_seconds
-        return age >= REPORT_INTERVAL_SECONDS and bool(
-            allowance.operations(window, now) or allowance.lots
+        return now - state.reported_at >= USED_INTERVAL_SECONDS and bool(
+            allowance.reports or allowance.unpaid
         )
 
     def contact_candidates(self, now: float) -> None:
