--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
@@ -320,10 +320,12 @@
             if empty.
         """
         limits = WaitLimits(TRANSACTION_PRIORITY, deadline, deadline)
+        used_since = self.in_use.get(connection)
         result = await self.limiter.enter(limits, account or connection.account)
         if result is not LimiterResult.GRANTED:
             return False
-        if connection not in self.in_use:
+        # The connection may serve another request by now.
+        if used_since is None or self.in_use.get(connection) != used_since:
             self.limiter.leave(0.0)
             self.open_more()
             return False
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -141,6 +141,9 @@
         self, commands: list[Command], deadline: float
     ) -> Reply | NotSent | None:
         """Send commands once they are admitted; return the last reply."""
+        if self.ended:
+            # The connection may serve another request by now.
+            return NotSent()
         if not await self.pool.begin_statement(self.connection, deadline):
             return NotSent()
         if self.ended:
--- a/packages/jackdawcrank-proxy/tests/relay/test_open_transaction.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_open_transaction.py
@@ -18,6 +18,7 @@
     SessionContext,
 )
 from jackdawcrank_policy.succession import PrimarySuspicion
+from jackdawcrank_policy.waiting import WaitLimits
 
 from .conftest import FakeConnection, FakeOpener, run_ready_tasks
 
@@ -104,6 +105,61 @@
     await asyncio.sleep(0)
 
 
+async def test_statement_of_an_ended_transaction_leaves_its_slot(
+    transaction: OpenTransaction, pool: ConnectionPool
+) -> None:
+    # Fails if the slot is lost for good when the connection already serves
+    # another request as the statement is admitted.
+    waiting = asyncio.create_task(
+        transaction.run(SESSION, Execution("r1", True, "WRITE a b"))
+    )
+    await run_ready_tasks()
+    transaction.roll_back()
+    connection = typing.cast(FakeConnection, transaction.connection)
+    connection.state = SessionState.IDLE
+    connection.sent[-1][1].set_result(Reply())
+    await run_ready_tasks()
+    deadline = asyncio.get_running_loop().time() + 5.0
+    limits = WaitLimits(0, deadline, deadline)
+    other = asyncio.create_task(pool.acquire(SessionContext(), limits))
+    await run_ready_tasks()
+    for _ in range(2):
+        pool.limiter.leave(0.01)
+    assert (await waiting).problem is Problem.ROLLED_BACK
+    assert await other is connection
+    pool.release(connection)
+    assert pool.limiter.in_flight_count == 0
+
+
+async def test_ended_transaction_does_not_repeat_a_refused_statement(
+    transaction: OpenTransaction, pool: ConnectionPool
+) -> None:
+    # Fails if a slot is lost for good when the transaction is rolled back
+    # during the pause after a refusal and its connection is used again.
+    pool.limiter.in_flight_count = 0
+    pool.limiter.window.size = 8.0
+    transaction.timeout_seconds = 5.0
+    waiting = asyncio.create_task(
+        transaction.run(SESSION, Execution("r1", True, "WRITE a b"))
+    )
+    await run_ready_tasks()
+    connection = typing.cast(FakeConnection, transaction.connection)
+    connection.sent[-1][1].set_result(
+        Reply(problem=Problem.BUSY, state=SessionState.IN_TRANSACTION)
+    )
+    await run_ready_tasks()
+    transaction.roll_back()
+    connection.state = SessionState.IDLE
+    connection.sent[-1][1].set_result(Reply())
+    await run_ready_tasks()
+    deadline = asyncio.get_running_loop().time() + 5.0
+    limits = WaitLimits(0, deadline, deadline)
+    assert await pool.acquire(SessionContext(), limits) is connection
+    assert (await waiting).problem is Problem.ROLLED_BACK
+    pool.release(connection)
+    assert pool.limiter.in_flight_count == 0
+
+
 READ_SHAPE = PreparedStatement(False, "q1")
 PREPARED_SESSION = typing.cast(
     SessionView,
