--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
@@ -163,6 +163,8 @@
       limiter: Limits the statements in flight on the server.
       executing: The time at which each connection with a statement in flight
         started it, in seconds on the loop's clock.
+      reuse_handle: Serves requests that have waited for `REUSE_SECONDS`; None
+        if none waits for that.
       retired: Whether the server has been removed.
       on_lost: Called when the server closes an idle connection.
     """
@@ -196,6 +198,7 @@
         self.overload_detector = OverloadDetector()
         self.in_use: dict[ServerConnection, float] = {}
         self.queue: FairWaitQueue[ConnectionRequest] = FairWaitQueue()
+        self.reuse_handle: asyncio.TimerHandle | None = None
         self.retired = False
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.get_running_loop()
@@ -479,9 +482,28 @@
         if self.serve_own(request, can_open, holds_share, now):
             return False
         if not can_open or not may_evict(request, holds_share):
+            self.serve_after_reuse(request)
             return False
         return self.replace_idle(waiter.account)
 
+    def serve_after_reuse(self, request: WaitingRequest) -> None:
+        """Serve again once a request has waited for `REUSE_SECONDS`.
+
+        From then on it may get a connection that it may not get now, and
+        nothing else need happen in the pool until then.
+
+        Args:
+          request: The next request.
+        """
+        left = REUSE_SECONDS - request.waited_seconds
+        if left > 0 and self.queue.has_accounts() and not self.reuse_handle:
+            self.reuse_handle = self.loop.call_later(left, self.reuse_ended)
+
+    def reuse_ended(self) -> None:
+        """Serve requests that have waited for `REUSE_SECONDS`."""
+        self.reuse_handle = None
+        self.open_more()
+
     def replace_idle(self, account: str) -> bool:
         """Close an idle connection and start to open one for an account.
 
--- a/packages/jackdawcrank-proxy/tests/relay/test_connections_by_account.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_connections_by_account.py
@@ -20,7 +20,10 @@
 from jackdawcrank_policy.homes import Member
 from jackdawcrank_policy.sessions import SessionContext
 from jackdawcrank_policy.waiting import WaitLimits
-from jackdawcrank_standins.history.virtual_time_loop import VirtualTimeLoop
+from jackdawcrank_standins.history.virtual_time_loop import (
+    VirtualTimeLoop,
+    run_virtual,
+)
 
 from .account_load import SERVER, LoadedServer, SimplePool, play
 from .conftest import FakeConnection, run_ready_tasks
@@ -239,6 +242,36 @@
         task.cancel()
 
 
+def test_request_of_an_account_with_its_share_gets_an_idle_connection() -> None:
+    # Fails if the request waits for as long as nothing else happens in the
+    # pool, although the connection of an account that sends nothing is idle.
+    async def work() -> None:
+        opener = CountingOpener()
+        pool = ConnectionPool(
+            SERVER, opener, 3, 4.0, DecisionLog("vm1"), lambda: None
+        )
+        limits = WaitLimits(0, *[asyncio.get_running_loop().time() + 5] * 2)
+        for account in "abc":
+            opened = asyncio.create_task(
+                pool.acquire(SessionContext(), limits, account)
+            )
+            await run_ready_tasks()
+            opener.complete(0, None)
+            await opened
+        pool.release(opener.opened[2])
+        waiting = asyncio.create_task(
+            pool.acquire(SessionContext(), limits, "b")
+        )
+        await asyncio.sleep(0.04)
+        assert not opener.pending and not opener.opened[2].closed
+        await asyncio.sleep(0.02)
+        assert opener.opened[2].closed
+        opener.complete(0, None)
+        assert (await waiting).account == "b"
+
+    run_virtual(work())
+
+
 RATES = [30, 25, 20, 15, 10, 8, 6, 5, 4, 3, 3, 2, 2, 2] + [1] * 6
 USUAL = {f"a{rank}": 1.6 * rate for rank, rate in enumerate(RATES)}
 SEEDS = range(2)
