--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
@@ -317,7 +317,9 @@
         """
         state = self.states.get(admission.account)
         if state is not None:
-            state.allowance.give_back(admission, self.clock())
+            now = self.clock()
+            state.allowance.give_back(admission, now)
+            self.serve_waiting(state, now)
 
     def ran_again(self, admission: Admission) -> None:
         """Count a second run of an admitted operation.
@@ -335,6 +337,15 @@
             one for one in state.waiting if not one.done()
         )
 
+    def serve_waiting(self, state: AccountState, now: float) -> None:
+        """Admit the operations that wait with the tokens that are held."""
+        self.drop_cancelled(state)
+        while state.waiting:
+            admission = state.allowance.spend(now)
+            if admission is None:
+                break
+            state.waiting.popleft().set_result(admission)
+
     def end_waiting(self, state: AccountState) -> None:
         """Refuse the operations that wait."""
         waiting, state.waiting = state.waiting, collections.deque()
@@ -569,12 +580,7 @@
         state.terms = {vm: grant.term}
         allowance = state.allowance
         allowance.granted(Holder(vm, grant.term), grant.tokens, asked_at, now)
-        self.drop_cancelled(state)
-        while state.waiting:
-            admission = allowance.spend(now)
-            if admission is None:
-                break
-            state.waiting.popleft().set_result(admission)
+        self.serve_waiting(state, now)
         if grant.retry_seconds > 0:
             allowance.refused_until = now + grant.retry_seconds
             self.end_waiting(state)
--- a/packages/jackdawcrank-proxy/tests/relay/test_account_limits.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_account_limits.py
@@ -320,3 +320,35 @@
         await cluster.stop()
 
     run_virtual(work())
+
+
+def test_a_token_given_back_serves_an_operation_that_waits() -> None:
+    """The operation would be refused although its VM holds a token."""
+
+    async def work() -> None:
+        cluster = Cluster(8, 1, EXACT)
+        await asyncio.sleep(2.0)
+        service = cluster.services["vm7"]
+        assert service is not None
+        service.give_back(await admitted(service))
+        held = []
+        while service.states["a"].allowance.lots:
+            held.append(await admitted(service))
+        for vm in service.candidates:
+            cluster.kill(vm, 100.0)
+        waiting = asyncio.create_task(service.admit("a", "", 0.8))
+        await asyncio.sleep(0.05)
+        assert not waiting.done()
+        service.give_back(held[-1])
+        assert isinstance(await waiting, Admission)
+        # Only one token was given back.
+        assert not isinstance(await service.admit("a", "", 0.8), Admission)
+        await cluster.stop()
+
+    run_virtual(work())
+
+
+async def admitted(service: AccountLimits) -> Admission:
+    admission = await service.admit("a", "", 0.8)
+    assert isinstance(admission, Admission)
+    return admission
