--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/counting_contacts.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/counting_contacts.py
@@ -37,6 +37,8 @@
     Attributes:
       own: This VM.
       began_at: When this process began, or went on after a pause.
+      complete_at: When all other candidates had answered for the first time
+        since `began_at`, none of which took this VM for lost; None before.
       checked_at: When `check_pause` was last called.
       leaving: Whether this process is stopping and counts nothing more.
       contacts: The latest answer of each candidate.
@@ -45,6 +47,7 @@
     def __init__(self, own: str, started_at: float) -> None:
         self.own = own
         self.began_at = started_at
+        self.complete_at: float | None = None
         self.checked_at = started_at
         self.leaving = False
         self.contacts: dict[str, Contact] = {}
@@ -58,8 +61,29 @@
         """
         if now - self.checked_at > interval_seconds + PAUSE_SECONDS:
             self.began_at = now
+            self.complete_at = None
         self.checked_at = now
 
+    def check_complete(self, candidates: Sequence[str], now: float) -> None:
+        """Record whether nobody can be counting in place of this VM.
+
+        A candidate counts in its place only while it takes it for lost.
+
+        Args:
+          candidates: The VMs that may count.
+          now: The current time.
+        """
+        if self.own not in candidates or self.complete_at is not None:
+            return
+        if all(
+            (contact := self.contact(vm, now)) is not None
+            and contact.asked_at >= self.began_at
+            and self.own not in contact.lost
+            for vm in candidates
+            if vm != self.own
+        ):
+            self.complete_at = now
+
     def answer_received(
         self, vm: str, asked_at: float, lost: Iterable[str]
     ) -> None:
@@ -129,6 +153,8 @@
         if self.own not in ranked or self.leaving:
             return None
         since = self.began_at + LOST_SECONDS
+        if self.complete_at is not None:
+            since = min(since, self.complete_at)
         for vm in ranked[: ranked.index(self.own)]:
             if not self.is_lost(vm, now) or self.is_heard_elsewhere(
                 vm, ranked, now
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
@@ -45,6 +45,10 @@
 # The longest wait of an operation for a token. Exceeds the round trip between
 # regions (80 ms) and stays well within the shortest latency objective (251 ms).
 ADMISSION_SECONDS = 0.15
+# The same in the first second of a process. After the loss of all VMs, a refused
+# caller would come back before any VM counts its account.
+START_ADMISSION_SECONDS = 0.4
+START_SECONDS = 1.0
 # A counting VM that has not answered for this time is passed over.
 ANSWER_SECONDS = 0.15
 PASS_OVER_SECONDS = 1.0
@@ -203,7 +207,13 @@
         )
 
     def ranked(self, account: str) -> tuple[str, ...]:
-        """Return the VMs that may count an account, in order."""
+        """Return the VMs that may count an account, in order.
+
+        There are none before the members were read: this VM would take itself
+        for the only one.
+        """
+        if not self.members.image_loaded:
+            return ()
         if self.members.members is not self.ranked_members:
             self.ranked_members = self.members.members
             self.candidates = counting_candidates(self.ranked_members.values())
@@ -259,7 +269,9 @@
         )
         state.waiting.append(future)
         self.ask(state.allowance.account)
-        timeout = min(ADMISSION_SECONDS, timeout_seconds)
+        starting = self.clock() - self.started_at < START_SECONDS
+        longest = START_ADMISSION_SECONDS if starting else ADMISSION_SECONDS
+        timeout = min(longest, timeout_seconds)
         try:
             done, _ = await asyncio.wait([future], timeout=max(0.0, timeout))
         except asyncio.CancelledError:
@@ -557,6 +569,7 @@
         now = self.clock()
         self.passed_over.pop(vm, None)
         self.counters.contacts.answer_received(vm, asked_at, lost)
+        self.counters.contacts.check_complete(self.candidates, now)
         self.answered_at[vm] = now
         self.end_request(vm, asked_at)
         for entry in entries:
@@ -600,6 +613,7 @@
         now = self.clock()
         self.ranked("")
         self.counters.contacts.check_pause(TICK_SECONDS, now)
+        self.counters.contacts.check_complete(self.candidates, now)
         if (
             self.own in self.candidates
             and now - self.contacted_at >= CONTACT_INTERVAL_SECONDS
