--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/accounts.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/accounts.py
@@ -1,6 +1,5 @@
 """Adds up what became of the operations of client accounts."""
 
-import itertools
 from collections.abc import Sequence
 from typing import TextIO
 
@@ -12,7 +11,10 @@
     find_account_uses,
     find_unproven_times,
 )
-from jackdawcrank_cli.explain import read_lines
+from jackdawcrank_cli.commands.log_period import (
+    lines_in_period,
+    log_period_options,
+)
 from jackdawcrank_cli.output import print_table
 
 SHOWN_ACCOUNTS = 40
@@ -30,35 +32,12 @@
 
 
 @click.command()
-@click.option(
-    "--logs",
-    type=click.File(errors="replace"),
-    multiple=True,
-    required=True,
-    help="A log file of one or several processes; may be given repeatedly.",
-)
-@click.option(
-    "--after",
-    type=float,
-    default=0.0,
-    help="Begin of the period, Unix seconds.",
-)
-@click.option(
-    "--before",
-    type=float,
-    default=None,
-    help="End of the period, Unix seconds.",
-)
+@log_period_options
 def accounts(
     logs: tuple[TextIO, ...], after: float, before: float | None
 ) -> None:
     """Print what became of the operations of client accounts in a period."""
-    end = float("inf") if before is None else before
-    lines = [
-        line
-        for line in read_lines(itertools.chain(*logs))
-        if after <= line.at < end
-    ]
+    lines = lines_in_period(logs, after, before)
     uses = find_account_uses(lines)
     click.echo(f"{len(uses)} accounts in the logs\n")
     print_table(HEADINGS, [table_row(one) for one in uses[:SHOWN_ACCOUNTS]])
--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/losses.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/commands/losses.py
@@ -1,14 +1,16 @@
 """Adds up what callers lost in a period."""
 
 import collections
-import itertools
 import statistics
 from collections.abc import Iterable
 from typing import TextIO
 
 import click
 
-from jackdawcrank_cli.explain import read_lines
+from jackdawcrank_cli.commands.log_period import (
+    lines_in_period,
+    log_period_options,
+)
 from jackdawcrank_cli.losses import (
     Loss,
     StartTime,
@@ -21,13 +23,7 @@
 
 
 @click.command()
-@click.option(
-    "--logs",
-    type=click.File(errors="replace"),
-    multiple=True,
-    required=True,
-    help="A log file of one or several processes; may be given repeatedly.",
-)
+@log_period_options
 @click.option(
     "--late-ms",
     type=float,
@@ -35,18 +31,6 @@
     show_default=True,
     help="A statement that took longer counts as late, in milliseconds.",
 )
-@click.option(
-    "--after",
-    type=float,
-    default=0.0,
-    help="Begin of the period, Unix seconds.",
-)
-@click.option(
-    "--before",
-    type=float,
-    default=None,
-    help="End of the period, Unix seconds.",
-)
 def losses(
     logs: tuple[TextIO, ...],
     late_ms: float,
@@ -54,12 +38,7 @@
     before: float | None,
 ) -> None:
     """Print where statements were lost or late in a period, and why."""
-    end = float("inf") if before is None else before
-    lines = [
-        line
-        for line in read_lines(itertools.chain(*logs))
-        if after <= line.at < end
-    ]
+    lines = lines_in_period(logs, after, before)
     found = list(find_losses(lines, late_ms))
     click.echo(f"{len(found)} statements or transactions lost or late")
     print_causes(found)
