--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/account_allowance.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/account_allowance.py
@@ -53,21 +53,23 @@
     count: int
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class Admission:
     """An admitted operation.
 
     Attributes:
-      account: The account; empty if the operation is not limited.
+      account: The account.
       holder: The counting VM whose token it uses; None without a token.
-      expires_at: When its token becomes invalid.
-      at: When it was admitted.
+      expires_at: When it may no longer be sent to a server.
+      at: When it was admitted, or last sent to a server.
+      sent: Whether it was sent and the server may have run it.
     """
 
     account: str
     holder: Holder | None = None
     expires_at: float = 0.0
     at: float = 0.0
+    sent: bool = False
 
 
 @attrs.define
@@ -94,6 +96,9 @@
       account: The account's name.
       started_at: When this process began.
       lots: The unused tokens, oldest first.
+      held: The admitted operations that are not being run. Their tokens count
+        as unused, so that operations that wait for a server and then run
+        together do not exceed the limit.
       steps: The numbers of operations in the window, by step.
       isolated_steps: Those of them that used the share of an isolated VM.
       arrivals: The numbers of operations that asked, by step.
@@ -109,6 +114,7 @@
         self.account = account
         self.started_at = started_at
         self.lots: list[Lot] = []
+        self.held: set[Admission] = set()
         self.steps: collections.Counter[int] = collections.Counter()
         self.isolated_steps: collections.Counter[int] = collections.Counter()
         self.arrivals: collections.Counter[int] = collections.Counter()
@@ -142,9 +148,15 @@
         lot.count -= 1
         if not lot.count:
             del self.lots[0]
-        self.report_to(lot.holder, now).spent += 1
-        self.steps[step(now)] += 1
-        return Admission(self.account, lot.holder, lot.expires_at, now)
+        return self.hold(lot.holder, lot.expires_at, now)
+
+    def hold(
+        self, holder: Holder | None, expires_at: float, now: float
+    ) -> Admission:
+        """Return an admission for an operation that is not run yet."""
+        admission = Admission(self.account, holder, expires_at, now)
+        self.held.add(admission)
+        return admission
 
     def spend_isolated(
         self, limit: AccountLimit, vms: int, now: float
@@ -166,27 +178,95 @@
         if used + 1 > limit.isolated_operations(vms):
             return None
         self.isolated_steps[step(now)] += 1
-        self.steps[step(now)] += 1
-        return Admission(self.account, at=now)
+        return self.hold(None, now + GRANT_SECONDS, now)
 
-    def give_back(self, admission: Admission, now: float) -> None:
-        """Take back the token of an operation that was not sent.
+    def may_run(self, admission: Admission, now: float) -> bool:
+        """Return whether an operation may still be sent to a server.
+
+        Args:
+          admission: The operation.
+          now: The current time.
+        """
+        return admission in self.held and now < admission.expires_at
+
+    def begin_run(self, admission: Admission, now: float) -> bool:
+        """Record that an operation is sent to a server now.
 
         Args:
           admission: The operation.
           now: The current time.
+
+        Returns:
+          Whether it may be sent.
         """
-        remove_one(self.steps, step(admission.at))
+        if not self.may_run(admission, now):
+            return False
+        self.held.discard(admission)
+        admission.sent = True
+        self.steps[step(now)] += 1
         if admission.holder is None:
             remove_one(self.isolated_steps, step(admission.at))
+            self.isolated_steps[step(now)] += 1
+        admission.at = now
+        return True
+
+    def ran(self, admission: Admission, now: float) -> None:
+        """Record that the server has received an operation.
+
+        Args:
+          admission: The operation.
+          now: The current time.
+        """
+        # The counting VM takes tokens that are not reported in time for used.
+        if admission.holder and now < admission.expires_at:
+            self.report_to(admission.holder, now).spent += 1
+
+    def not_run(self, admission: Admission) -> None:
+        """Record that the server has not run an operation.
+
+        It may be sent again. Does nothing if it was not sent.
+
+        Args:
+          admission: The operation.
+        """
+        if admission.sent:
+            admission.sent = False
+            remove_one(self.steps, step(admission.at))
+            self.held.add(admission)
+
+    def give_back(self, admission: Admission, now: float) -> None:
+        """Take back the token of an operation that no server has run.
+
+        A token that is no longer valid is not returned: its counting VM takes
+        it for used, and has filled its bucket since.
+
+        Args:
+          admission: The operation; ignored unless it is held.
+          now: The current time.
+        """
+        if admission not in self.held:
             return
-        report = self.report_to(admission.holder, now)
-        report.spent -= 1
-        if admission.expires_at - now > RETURN_SECONDS:
+        self.held.discard(admission)
+        left = admission.expires_at - now
+        if admission.holder is None:
+            remove_one(self.isolated_steps, step(admission.at))
+        elif left > RETURN_SECONDS:
             lot = Lot(admission.holder, admission.expires_at, 1)
             self.lots.insert(0, lot)
-        else:
-            report.returned += 1
+        elif left > 0:
+            self.report_to(admission.holder, now).returned += 1
+
+    def return_held(self, now: float) -> None:
+        """Take back the tokens of operations that wait for too long.
+
+        These operations must be admitted again before they may run.
+
+        Args:
+          now: The current time.
+        """
+        for admission in list(self.held):
+            if admission.expires_at - now <= RETURN_SECONDS:
+                self.give_back(admission, now)
 
     def ran_again(self, now: float) -> None:
         """Count a second run of an operation, which needs no token.
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/account_counter.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/account_counter.py
@@ -180,8 +180,7 @@
         Args:
           vm: The VM.
           term: The term of the counter that granted the tokens.
-          spent: The number of this counter's tokens that it used; negative if
-            it reported too many before.
+          spent: The number of this counter's tokens that it used.
           returned: The number of tokens that it will not use.
           now: The current time.
         """
@@ -190,8 +189,6 @@
             return
         self.fill(now)
         lots = self.outstanding.setdefault(vm, collections.deque())
-        if spent < 0:
-            lots.appendleft((now - GRANT_SECONDS, -spent))
         self.take(lots, spent)
         # Tokens whose time for reports has passed are counted as used.
         self.level += self.take(lots, returned)
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/counting_contacts.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/counting_contacts.py
@@ -14,6 +14,22 @@
 LOST_SECONDS = 0.6
 # A process that was paused for this long may have been replaced meanwhile.
 PAUSE_SECONDS = 0.3
+# A candidate that is not in this VM's members is forgotten after this time
+# without a message; killed VMs restart sooner.
+UNLISTED_SECONDS = 30.0
+
+
+@attrs.frozen
+class Heard:
+    """The latest message of another candidate.
+
+    Attributes:
+      at: When it arrived.
+      listed: The candidates that the other one knows.
+    """
+
+    at: float
+    listed: frozenset[str]
 
 
 @attrs.frozen
@@ -23,10 +39,13 @@
     Attributes:
       asked_at: When the message that it answers was sent.
       lost: The candidates that the other one takes for lost or leaving.
+      listed: The candidates by the other one's members, and those from which
+        it has just heard.
     """
 
     asked_at: float
     lost: frozenset[str]
+    listed: frozenset[str]
 
 
 class CountingContacts:
@@ -42,6 +61,7 @@
       checked_at: When `check_pause` was last called.
       leaving: Whether this process is stopping and counts nothing more.
       contacts: The latest answer of each candidate.
+      messages: The latest message of each candidate.
     """
 
     def __init__(self, own: str, started_at: float) -> None:
@@ -51,6 +71,7 @@
         self.checked_at = started_at
         self.leaving = False
         self.contacts: dict[str, Contact] = {}
+        self.messages: dict[str, Heard] = {}
 
     def check_pause(self, interval_seconds: float, now: float) -> None:
         """Detect a pause of this process, during which others may have counted.
@@ -85,7 +106,11 @@
             self.complete_at = now
 
     def answer_received(
-        self, vm: str, asked_at: float, lost: Iterable[str]
+        self,
+        vm: str,
+        asked_at: float,
+        lost: Iterable[str],
+        listed: Iterable[str],
     ) -> None:
         """Record an answer of a candidate.
 
@@ -93,10 +118,72 @@
           vm: The candidate.
           asked_at: When the message that it answers was sent.
           lost: The candidates that it takes for lost or leaving.
+          listed: The candidates that it knows.
         """
         previous = self.contacts.get(vm)
         if previous is None or asked_at >= previous.asked_at:
-            self.contacts[vm] = Contact(asked_at, frozenset(lost))
+            self.contacts[vm] = Contact(
+                asked_at, frozenset(lost), frozenset(listed)
+            )
+
+    def message_received(
+        self, vm: str, listed: Iterable[str], now: float
+    ) -> None:
+        """Record a message by which a candidate keeps contact.
+
+        Args:
+          vm: The candidate.
+          listed: The candidates that it knows.
+          now: The current time.
+        """
+        self.messages[vm] = Heard(now, frozenset(listed))
+
+    def heard(self, vm: str, now: float) -> Heard | None:
+        """Return the message of a candidate if it is recent enough."""
+        message = self.messages.get(vm)
+        if message is None or now - message.at > LOST_SECONDS:
+            return None
+        return message
+
+    def listed(self, own_list: Iterable[str], now: float) -> list[str]:
+        """Return the candidates to tell others.
+
+        Hearsay is left out: it would go around between VMs for ever.
+
+        Args:
+          own_list: The candidates by this VM's members.
+          now: The current time.
+        """
+        recent = [vm for vm in self.messages if self.heard(vm, now)]
+        return sorted({*own_list, *recent})
+
+    def all_candidates(
+        self, own_list: Iterable[str], now: float
+    ) -> tuple[str, ...]:
+        """Return the candidates of all VMs that this one is in contact with.
+
+        VMs read their members at different times. Two that know different
+        candidates would both count an account, each for the whole limit.
+
+        Args:
+          own_list: The candidates by this VM's members.
+          now: The current time.
+        """
+        self.messages = {
+            vm: message
+            for vm, message in self.messages.items()
+            if now - message.at <= UNLISTED_SECONDS
+        }
+        found = {*own_list, *self.messages}
+        for vm in list(found):
+            contact = self.contact(vm, now)
+            message = self.heard(vm, now)
+            if contact is not None:
+                found |= contact.listed
+            if message is not None:
+                # Its sender takes this VM for a candidate.
+                found |= {self.own, *message.listed}
+        return tuple(sorted(found))
 
     def contact(self, vm: str, now: float) -> Contact | None:
         """Return the answer of a candidate if it is recent enough."""
@@ -121,7 +208,9 @@
     def is_lost(self, vm: str, now: float) -> bool:
         """Return whether a candidate is out of contact or leaving."""
         contact = self.contact(vm, now)
-        return contact is None or vm in contact.lost
+        if contact is None:
+            return self.heard(vm, now) is None
+        return vm in contact.lost
 
     def share(self, candidates: Sequence[str], now: float) -> float:
         """Return the share of an account's limit that this VM may count.
@@ -161,6 +250,9 @@
             ):
                 return None
             contact = self.contacts.get(vm)
+            message = self.messages.get(vm)
+            if message is not None and not (contact and vm in contact.lost):
+                since = max(since, message.at + LOST_SECONDS)
             if contact is not None and vm not in contact.lost:
                 since = max(since, contact.asked_at + LOST_SECONDS)
             elif contact is not None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/account_limits.py
@@ -52,9 +52,13 @@
 # A counting VM that has not answered for this time is passed over.
 ANSWER_SECONDS = 0.15
 PASS_OVER_SECONDS = 1.0
-# A request whose answer is late is repeated while its operations still wait.
-# Exceeds the round trip between regions (80 ms).
-REPEAT_SECONDS = 0.09
+# A request whose answer is late is repeated while its operations still wait. The
+# answer to the second one must also arrive within ADMISSION_SECONDS, so a VM
+# that usually answers sooner than between regions (80 ms) is asked again sooner.
+MAX_REPEAT_SECONDS = 0.09
+REPEAT_ROUND_TRIPS = 1.25
+# Weight of one answer in the moving average of the round-trip time.
+ROUND_TRIP_WEIGHT = 0.2
 # A VM that says that it does not count an account is asked again after this.
 NOT_COUNTING_SECONDS = 0.1
 # Requests to one VM are at least this far apart, and hold this many accounts.
@@ -128,8 +132,11 @@
         by account; the requests by VM and the time when they were sent.
       sent_at: When the last request to each VM was sent.
       answered_at: When the last message of each VM arrived.
+      round_trips: The mean time to each VM's answers, in seconds.
       contacted_at: When the other candidates were last sent a message.
       passed_over: Until when each VM that did not answer is not asked.
+      listed_candidates: The candidates by this VM's members.
+      candidates: Those and the candidates that other VMs know.
     """
 
     def __init__(
@@ -158,6 +165,7 @@
         self.unsent: dict[str, None] = {}
         self.in_flight: dict[tuple[str, float], dict[str, int]] = {}
         self.answered_at: dict[str, float] = {}
+        self.round_trips: dict[str, float] = {}
         self.sent_at: dict[str, float] = {}
         self.passed_over: dict[str, float] = {}
         self.usage_logged_at = self.started_at
@@ -166,6 +174,7 @@
         self.tasks: set[asyncio.Task[typing.Any]] = set()
         self.subscription: Subscription | None = None
         self.ranked_members: dict[str, Member] = {}
+        self.listed_candidates: tuple[str, ...] = ()
         self.candidates: tuple[str, ...] = ()
         self.rankings: dict[str, tuple[str, ...]] = {}
 
@@ -209,21 +218,40 @@
     def ranked(self, account: str) -> tuple[str, ...]:
         """Return the VMs that may count an account, in order.
 
-        There are none before the members were read: this VM would take itself
-        for the only one.
+        There are none before the members are known: this VM would take itself
+        for the only one, or VMs that start together would each take some of
+        them for all.
         """
-        if not self.members.image_loaded:
+        if not self.members_known():
             return ()
         if self.members.members is not self.ranked_members:
-            self.ranked_members = self.members.members
-            self.candidates = counting_candidates(self.ranked_members.values())
-            self.rankings = {}
+            self.update_candidates(self.clock())
         found = self.rankings.get(account)
         if found is None:
             found = ranked_candidates(account, self.candidates)
             self.rankings[account] = found
         return found
 
+    def members_known(self) -> bool:
+        """Return whether the running VMs are expected to be known."""
+        return self.members.image_loaded and self.members.complete
+
+    def update_candidates(self, now: float) -> None:
+        """Update the candidates from the members and the other candidates."""
+        if not self.members_known():
+            return
+        if self.members.members is not self.ranked_members:
+            self.ranked_members = self.members.members
+            self.listed_candidates = counting_candidates(
+                self.ranked_members.values()
+            )
+        candidates = self.counters.contacts.all_candidates(
+            self.listed_candidates, now
+        )
+        if candidates != self.candidates:
+            self.candidates = candidates
+            self.rankings = {}
+
     async def admit(
         self, account: str, request_id: str, timeout_seconds: float
     ) -> Admission | Reply:
@@ -321,8 +349,55 @@
             detail=f"account limit exceeded; retry_after_ms={retry_ms}",
         )
 
+    def may_run(self, admission: Admission) -> bool:
+        """Return whether an operation may still be sent to a server.
+
+        If not, it must be admitted again.
+
+        Args:
+          admission: The operation.
+        """
+        state = self.states.get(admission.account)
+        return state is not None and state.allowance.may_run(
+            admission, self.clock()
+        )
+
+    def begin_run(self, admission: Admission) -> bool:
+        """Record that an operation is sent to a server now.
+
+        Args:
+          admission: The operation.
+
+        Returns:
+          Whether it may be sent.
+        """
+        state = self.states.get(admission.account)
+        return state is not None and state.allowance.begin_run(
+            admission, self.clock()
+        )
+
+    def ran(self, admission: Admission) -> None:
+        """Record that a server has received an operation.
+
+        Args:
+          admission: The operation.
+        """
+        state = self.states.get(admission.account)
+        if state is not None:
+            state.allowance.ran(admission, self.clock())
+
+    def not_run(self, admission: Admission) -> None:
+        """Record that no server has run an operation yet.
+
+        Args:
+          admission: The operation.
+        """
+        state = self.states.get(admission.account)
+        if state is not None:
+            state.allowance.not_run(admission)
+
     def give_back(self, admission: Admission) -> None:
-        """Take back the token of an operation that was not sent.
+        """Take back the token of an operation that will not run.
 
         Args:
           admission: The operation.
@@ -414,7 +489,8 @@
     def repeat_requests(self, now: float) -> None:
         """Repeat late requests, and pass over VMs that do not answer."""
         for (vm, sent_at), wanted in list(self.in_flight.items()):
-            if now - sent_at >= REPEAT_SECONDS and any(wanted.values()):
+            late = now - sent_at >= self.repeat_seconds(vm)
+            if late and any(wanted.values()):
                 accounts = list(wanted)
                 self.end_request(vm, sent_at)
                 self.in_flight[vm, sent_at] = {}
@@ -426,6 +502,11 @@
                 if self.answered_at.get(vm, 0.0) < sent_at:
                     self.passed_over[vm] = now + PASS_OVER_SECONDS
 
+    def repeat_seconds(self, vm: str) -> float:
+        """Return the time after which a request to a VM is repeated."""
+        round_trip = self.round_trips.get(vm, MAX_REPEAT_SECONDS)
+        return min(MAX_REPEAT_SECONDS, REPEAT_ROUND_TRIPS * round_trip)
+
     def may_send(self, vm: str, now: float) -> bool:
         """Return whether a request to a VM may be sent now."""
         return now - self.sent_at.get(vm, 0.0) >= BATCH_SECONDS
@@ -526,7 +607,7 @@
         self.in_flight[vm, now] = {one.account: one.wanted for one in requests}
         entries = [list(attrs.astuple(one)) for one in requests]
         self.sent_at[vm] = now
-        stream.send(pack(0, Kind.ALLOWANCE_REQUEST, self.own, entries, now))
+        stream.send(pack(0, Kind.ALLOWANCE_REQUEST, self.own, entries, now, []))
 
     def request_received(self, fields: Fields) -> bytes:
         """Return the answer to a request of another VM.
@@ -538,10 +619,14 @@
           ValueError: The message is malformed.
           TypeError: A field has the wrong type.
         """
-        vm, entries, asked_at = fields
+        vm, entries, asked_at, known = fields
         now = self.clock()
-        self.ranked("")
-        lost = self.counters.contacts.lost(self.candidates, now)
+        contacts = self.counters.contacts
+        if known:
+            contacts.message_received(vm, known, now)
+        self.update_candidates(now)
+        lost = contacts.lost(self.candidates, now)
+        listed = contacts.listed(self.listed_candidates, now)
         grants = []
         for entry in entries[:MAX_ACCOUNTS]:
             request = TokenRequest(*entry)
@@ -553,7 +638,9 @@
                 now,
             )
             grants.append(list(attrs.astuple(grant)))
-        return pack(0, Kind.ALLOWANCE_GRANT, self.own, grants, asked_at, lost)
+        return pack(
+            0, Kind.ALLOWANCE_GRANT, self.own, grants, asked_at, lost, listed
+        )
 
     def grant_received(self, fields: Fields) -> None:
         """Apply the answer of another VM.
@@ -565,12 +652,16 @@
           ValueError: The message is malformed.
           TypeError: A field has the wrong type.
         """
-        vm, entries, asked_at, lost = fields
+        vm, entries, asked_at, lost, listed = fields
         now = self.clock()
         self.passed_over.pop(vm, None)
-        self.counters.contacts.answer_received(vm, asked_at, lost)
+        self.counters.contacts.answer_received(vm, asked_at, lost, listed)
+        self.update_candidates(now)
         self.counters.contacts.check_complete(self.candidates, now)
         self.answered_at[vm] = now
+        mean = self.round_trips.get(vm, now - asked_at)
+        mean += ROUND_TRIP_WEIGHT * (now - asked_at - mean)
+        self.round_trips[vm] = mean
         self.end_request(vm, asked_at)
         for entry in entries:
             self.apply_grant(vm, TokenGrant(*entry), asked_at, now)
@@ -611,7 +702,7 @@
             self.counters.counters.clear()
             return
         now = self.clock()
-        self.ranked("")
+        self.update_candidates(now)
         self.counters.contacts.check_pause(TICK_SECONDS, now)
         self.counters.contacts.check_complete(self.candidates, now)
         if (
@@ -638,19 +729,20 @@
         """Return whether a report about an account must be sent."""
         allowance = state.allowance
         allowance.drop_expired(now)
+        allowance.return_held(now)
         return now - state.reported_at >= USED_INTERVAL_SECONDS and bool(
             allowance.reports or allowance.unpaid
         )
 
     def contact_candidates(self, now: float) -> None:
         """Send a message without entries to each other candidate."""
+        listed = self.counters.contacts.listed(self.listed_candidates, now)
+        message = pack(0, Kind.ALLOWANCE_REQUEST, self.own, [], now, listed)
         for vm in self.candidates:
             if vm != self.own and self.connected(vm) and self.router:
                 stream = self.router.stream_to(vm)
                 if stream is not None:
-                    stream.send(
-                        pack(0, Kind.ALLOWANCE_REQUEST, self.own, [], now)
-                    )
+                    stream.send(message)
 
     def log_counting(self, account: str, counter: AccountCounter) -> None:
         """Log that this VM begins to count an account."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -55,6 +55,7 @@
 CONNECTION_LOST = "connection lost"
 ANSWER_LOST = "answer lost"
 DEADLINE_EXCEEDED = "out of time"
+ADMISSION_EXPIRED = "waited longer than its admission"
 # Reasons for the failure of an attempt that a server received.
 RECEIVED = frozenset(
     {
@@ -88,6 +89,8 @@
       server: Id of the server of the latest attempt.
       needed: The position that a replica needed in the latest attempt.
       runs: Number of attempts that a server received and did not refuse.
+      admission: Admits the operation within its account's limit; None if it is
+        not limited.
     """
 
     deadline: float
@@ -101,6 +104,7 @@
     server: str = ""
     needed: Position | None = None
     runs: int = 0
+    admission: Admission | None = None
 
 
 class StatementRunner:
@@ -135,21 +139,21 @@
         spec, group = resolved(session)
         now = self.loop.time()
         attempts = Attempts(now + spec.statement_timeout_seconds, now)
-        admission = await self.admit(session, execution, attempts)
-        if isinstance(admission, Reply):
-            return admission
         while self.can_retry(group, attempts):
+            refusal = await self.admit(session, execution, attempts)
+            if refusal is not None:
+                return refusal
             attempts.count += 1
             if execution.writes:
                 reply = await self.try_write(session, execution, attempts)
             else:
                 reply = await self.try_read(session, execution, attempts)
-            self.count_run(admission, attempts, reply is not None)
+            self.count_run(attempts, reply is not None)
             if reply is not None:
                 self.log_result(session, execution, attempts, reply)
                 return reply
             await self.pause(attempts)
-        self.end_admission(admission, attempts)
+        self.end_admission(attempts)
         reply = Reply(problem=Problem.BUSY, detail=attempts.reason)
         self.log_result(session, execution, attempts, reply)
         return reply
@@ -159,15 +163,21 @@
         session: SessionView,
         execution: Execution | None,
         attempts: Attempts,
-    ) -> Admission | Reply | None:
+    ) -> Reply | None:
         """Admit an operation of a client account within its limit.
 
+        An operation that has waited too long since it was admitted is admitted
+        again, unless a server has received it.
+
         Returns:
-          The admission, the reply that refuses it, or None if the operation
-          is not limited.
+          The reply that refuses it, or None.
         """
-        if not session.account or self.limits is None:
+        if not session.account or self.limits is None or attempts.runs:
             return None
+        if attempts.admission is not None:
+            if self.limits.may_run(attempts.admission):
+                return None
+            self.limits.give_back(attempts.admission)
         admission = await self.limits.admit(
             session.account,
             execution.request_id if execution else "",
@@ -178,30 +188,39 @@
             self.log.measurements.answered(
                 session.database, Problem.BUSY.value, seconds
             )
-        return admission
+            return admission
+        attempts.admission = admission
+        return None
 
-    def count_run(
-        self, admission: Admission | None, attempts: Attempts, ended: bool
-    ) -> None:
+    def begin_run(self, attempts: Attempts) -> bool:
+        """Return whether the admission allows sending the statement now."""
+        if attempts.admission is None or self.limits is None or attempts.runs:
+            return True
+        return self.limits.begin_run(attempts.admission)
+
+    def count_run(self, attempts: Attempts, ended: bool) -> None:
         """Count an attempt that a server received.
 
         Args:
-          admission: The operation's admission; None if it is not limited.
           attempts: The attempts including the one that was made.
           ended: Whether the attempt ended the operation.
         """
-        if not ended and attempts.reason not in RECEIVED:
+        admission = attempts.admission
+        received = ended or attempts.reason in RECEIVED
+        attempts.runs += received
+        if admission is None or self.limits is None:
             return
-        attempts.runs += 1
-        if admission is not None and self.limits and attempts.runs > 1:
+        if attempts.runs == 0:
+            self.limits.not_run(admission)
+        elif received and attempts.runs == 1:
+            self.limits.ran(admission)
+        elif received:
             self.limits.ran_again(admission)
 
-    def end_admission(
-        self, admission: Admission | None, attempts: Attempts
-    ) -> None:
+    def end_admission(self, attempts: Attempts) -> None:
         """Give back the token of an operation that no server received."""
-        if admission is not None and self.limits and not attempts.runs:
-            self.limits.give_back(admission)
+        if attempts.admission and self.limits and not attempts.runs:
+            self.limits.give_back(attempts.admission)
 
     def can_retry(self, group: GroupRelay, attempts: Attempts) -> bool:
         """Return whether another attempt may succeed."""
@@ -520,17 +539,17 @@
         spec, group = resolved(session)
         now = self.loop.time()
         attempts = Attempts(now + spec.statement_timeout_seconds, now)
-        admission = await self.admit(session, execution, attempts)
-        if isinstance(admission, Reply):
-            return admission
         while self.can_retry(group, attempts):
+            refusal = await self.admit(session, execution, attempts)
+            if refusal is not None:
+                return refusal
             attempts.count += 1
             opened = await self.try_begin(session, execution, attempts)
-            self.count_run(admission, attempts, opened is not None)
+            self.count_run(attempts, opened is not None)
             if opened is not None:
                 return opened
             await self.pause(attempts)
-        self.end_admission(admission, attempts)
+        self.end_admission(attempts)
         request_id = execution.request_id if execution else ""
         self.log.event(
             "transaction_refused",
@@ -634,6 +653,10 @@
                 attempts.excluded.add(pool.server.server_id)
                 group.record_unreachable(pool, granted.failure)
             return None
+        if not self.begin_run(attempts):
+            self.return_connection(pool, granted, broken=False)
+            attempts.reason = ADMISSION_EXPIRED
+            return None
         return granted
 
     def wait_limits(
