--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/accounts/account_use.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/accounts/account_use.py
@@ -7,6 +7,16 @@
 
 from jackdawcrank_cli.explain.log_lines import LogLine
 
+# Other events name accounts, too, but do not tell of their operations.
+ACCOUNT_EVENTS = frozenset(
+    {
+        "account_counting",
+        "account_limited",
+        "account_unreadable",
+        "account_usage",
+        "key_refused",
+    }
+)
 UNKNOWN_KEY_REASONS = ("unknown", "withdrawn")
 
 
@@ -88,7 +98,7 @@
     """
     found: dict[str, AccountUse] = {}
     for line in sorted(lines, key=lambda one: one.at):
-        if "account" in line.fields:
+        if line.event in ACCOUNT_EVENTS and "account" in line.fields:
             name = line.text("account")
             found.setdefault(name, AccountUse(name)).add(line)
     return sorted(found.values(), key=AccountUse.rank)
--- a/packages/jackdawcrank-cli/tests/accounts/test_accounts.py
+++ b/packages/jackdawcrank-cli/tests/accounts/test_accounts.py
@@ -61,6 +61,9 @@
     usage = fields | {"admitted": 7, "limited": 5, "holder": "b"}
     lines.append(LogLine(2.0, "a", "account_usage", usage))
     lines.append(LogLine(3.0, "a", "account_usage", fields | {"admitted": ""}))
+    # Events about servers would add rows for "*" and for no account.
+    for other in ("*", "", "bolt"):
+        lines.append(LogLine(4.0, "a", "server_queue", {"account": other}))
     (use,) = find_account_uses(lines)
     assert (use.operations, use.limited, use.holder) == (7, 5, "b")
 
