--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -19,6 +19,10 @@
 
 
 REQUEST = {"request": "the caller's id of the statement"}
+CALLER = {
+    "database": "the database",
+    "account": "the client account; empty for none",
+}
 GROUP = {"group": "the database group"}
 SERVER = {"server": "the backend server"}
 ATTEMPTS = {
@@ -40,6 +44,7 @@
 }
 LOST = {
     **REQUEST,
+    **CALLER,
     **GROUP,
     **SERVER,
     "silent": "whether the connection stood all the while",
@@ -230,12 +235,34 @@
         "a connection came back inside a transaction and was closed",
         {**SERVER, "state": "where it stood"},
     ),
+    EventSpec(
+        "server_queue",
+        "statements waited for a server or were refused there; at most every 5 s "
+        "for each server, priority and account",
+        {
+            **GROUP,
+            **SERVER,
+            "priority": "the priority; -1 for statements of open transactions",
+            "account": "the client account: one of the 10 busiest at the "
+            "server, `*` for all others, empty for callers without one",
+            "waited": "statements that waited for a connection or for the "
+            "window, or for both",
+            "longest_ms": "the longest wait in milliseconds",
+            "mean_ms": "the mean wait of these statements in milliseconds",
+            "refused": "statements refused because the wait limit passed, or "
+            "would pass",
+            "full": "statements, or connections for them, that the server "
+            "refused as full",
+            "places": "the window: how many statements this VM may have in "
+            "flight at the server",
+        },
+    ),
     EventSpec(
         "statement",
         "a statement outside a transaction was answered",
         {
             **REQUEST,
-            "database": "the database",
+            **CALLER,
             "writes": "whether it changes data",
             **SERVER,
             "needed": "the log position that a replica had to have",
@@ -260,6 +287,7 @@
         "a statement failed inside a transaction",
         {
             **REQUEST,
+            **CALLER,
             **GROUP,
             **SERVER,
             "outcome": "the problem that the caller was told",
@@ -271,6 +299,7 @@
         "a commit was answered",
         {
             **REQUEST,
+            **CALLER,
             **GROUP,
             **SERVER,
             "outcome": "done, or the problem that the caller was told",
@@ -281,7 +310,7 @@
     EventSpec(
         "transaction_refused",
         "no server could open a transaction in time",
-        {**REQUEST, "database": "the database", **ATTEMPTS},
+        {**REQUEST, **CALLER, **ATTEMPTS},
     ),
     EventSpec(
         "transaction_lost",
@@ -296,7 +325,7 @@
     EventSpec(
         "idle_transaction_ended",
         "a caller rested in a transaction for too long",
-        {"database": "the database", "idle": "seconds without a statement"},
+        {**CALLER, "idle": "seconds without a statement"},
     ),
     EventSpec(
         "replacing_primary",
@@ -420,7 +449,7 @@
         "a home did not answer a forwarded statement",
         {
             **REQUEST,
-            "database": "the database",
+            **CALLER,
             "outcome": "the problem that the caller was told",
         },
     ),
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
@@ -8,6 +8,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.queue_statistics import QueueStatistics
 from jackdawcrank.relay.statement_limiter import (
     TRANSACTION_PRIORITY,
     LimiterResult,
@@ -161,6 +162,7 @@
         use.
       overload_detector: Sets the wait limit of new requests.
       limiter: Limits the statements in flight on the server.
+      queue_statistics: Counts the waits and refusals at the server.
       executing: The time at which each connection with a statement in flight
         started it, in seconds on the loop's clock.
       reuse_handle: Serves requests that have waited for `REUSE_SECONDS`; None
@@ -193,6 +195,7 @@
         self.limiter = StatementLimiter(
             max(MIN_WINDOW, window), limit, log.measurements.waited
         )
+        self.queue_statistics = QueueStatistics()
         self.executing: dict[ServerConnection, float] = {}
         self.wait_estimator = WaitEstimator()
         self.overload_detector = OverloadDetector()
@@ -221,6 +224,25 @@
           The connection, why none could be opened, or that the wait limit was
           exceeded.
         """
+        began = self.loop.time()
+        result: OpenResult | WaitLimitExceeded | None = None
+        try:
+            result = await self.connect_and_enter(context, limits, account)
+        finally:
+            self.queue_statistics.admission_ended(
+                limits.priority,
+                account,
+                self.loop.time() - began,
+                isinstance(result, WaitLimitExceeded),
+                isinstance(result, NotOpened)
+                and result.failure is OpenFailure.FULL,
+            )
+        return result
+
+    async def connect_and_enter(
+        self, context: SessionContext, limits: WaitLimits, account: str
+    ) -> OpenResult | WaitLimitExceeded:
+        """Wait for a connection if all are in use, and then for the limiter."""
         granted = await self.connect(context, limits, account)
         if isinstance(granted, (NotOpened, WaitLimitExceeded)):
             return granted
@@ -324,7 +346,18 @@
         """
         limits = WaitLimits(TRANSACTION_PRIORITY, deadline, deadline)
         used_since = self.in_use.get(connection)
-        result = await self.limiter.enter(limits, account or connection.account)
+        account = account or connection.account
+        began = self.loop.time()
+        result: LimiterResult | None = None
+        try:
+            result = await self.limiter.enter(limits, account)
+        finally:
+            self.queue_statistics.admission_ended(
+                TRANSACTION_PRIORITY,
+                account,
+                self.loop.time() - began,
+                result is LimiterResult.WAIT_LIMIT_EXCEEDED,
+            )
         if result is not LimiterResult.GRANTED:
             return False
         # The connection may serve another request by now.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
@@ -253,6 +253,7 @@
             "home_lost",
             request=execution.request_id if execution else "",
             database=session.database,
+            account=session.account,
             outcome=Problem.IN_DOUBT.value,
         )
         return Reply(problem=Problem.IN_DOUBT, detail="the home did not answer")
@@ -268,6 +269,7 @@
             "home_lost",
             request=execution.request_id if execution else "",
             database=session.database,
+            account=session.account,
             outcome=Problem.BUSY.value,
         )
         return Reply(problem=Problem.BUSY, detail="no home answered in time")
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/idle_transactions.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/idle_transactions.py
@@ -62,5 +62,6 @@
                 self.log.event(
                     "idle_transaction_ended",
                     database=session.database,
+                    account=session.account,
                     idle=round(now - session.active_at, 1),
                 )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -15,6 +15,7 @@
 )
 from jackdawcrank.relay.refusal_backoff import refusal_backoff_seconds
 from jackdawcrank.relay.session_view import SessionView
+from jackdawcrank.relay.statement_limiter import TRANSACTION_PRIORITY
 from jackdawcrank.seams.commands import (
     Command,
     ForwardCommit,
@@ -78,7 +79,9 @@
           execution: The statement.
         """
         if self.ended:
-            return self.not_admitted(execution.request_id, self.loop.time())
+            return self.not_admitted(
+                session, execution.request_id, self.loop.time()
+            )
         self.wrote = self.wrote or execution.writes
         sent_at = boot_seconds()
         start = self.loop.time()
@@ -87,14 +90,18 @@
         )
         reply = await self.send(commands, start + self.timeout_seconds)
         if isinstance(reply, NotSent):
-            return self.not_admitted(execution.request_id, start)
+            return self.not_admitted(session, execution.request_id, start)
         if reply is None:
-            return self.statement_unanswered(execution.request_id, start)
+            return self.statement_unanswered(
+                session, execution.request_id, start
+            )
         self.record_reply(sent_at, start, reply)
         if reply.problem is not None:
             self.group.log.event(
                 "transaction_statement",
                 request=execution.request_id,
+                database=session.database,
+                account=self.connection.account,
                 group=self.group.name,
                 server=self.pool.server.server_id,
                 outcome=reply.problem.value,
@@ -133,6 +140,9 @@
             ):
                 return reply
             self.pool.limiter.refused()
+            self.pool.queue_statistics.refused_by_server(
+                TRANSACTION_PRIORITY, self.connection.account
+            )
             await asyncio.sleep(pause)
             refusals += 1
             commands = commands[-1:]
@@ -178,12 +188,16 @@
                     self.group.watermarks.add(sent_at, reply.position)
                 self.group.suspicion.answered()
 
-    def not_admitted(self, request_id: str, start: float) -> Reply:
+    def not_admitted(
+        self, session: SessionView, request_id: str, start: float
+    ) -> Reply:
         """Roll back because a statement was not admitted in time."""
         self.roll_back()
         self.group.log.event(
             "transaction_statement",
             request=request_id,
+            database=session.database,
+            account=self.connection.account,
             group=self.group.name,
             server=self.pool.server.server_id,
             outcome=Problem.ROLLED_BACK.value,
@@ -194,12 +208,14 @@
             detail="the server is full; the transaction is rolled back",
         )
 
-    def statement_unanswered(self, request_id: str, start: float) -> Reply:
+    def statement_unanswered(
+        self, session: SessionView, request_id: str, start: float
+    ) -> Reply:
         """Close the connection of an unanswered statement.
 
         The transaction was not committed.
         """
-        self.report_unanswered("transaction_lost", request_id, start)
+        self.report_unanswered("transaction_lost", session, request_id, start)
         self.drop()
         return Reply(
             problem=Problem.ROLLED_BACK,
@@ -219,15 +235,15 @@
             [ForwardCommit(request_id)], start + self.timeout_seconds
         )
         if isinstance(reply, NotSent):
-            return self.not_admitted(request_id, start)
+            return self.not_admitted(session, request_id, start)
         if reply is None:
-            return self.commit_unanswered(request_id, start)
+            return self.commit_unanswered(session, request_id, start)
         if self.connection.state is SessionState.IDLE:
             self.release()
         else:
             self.roll_back()
         self.pool.condition.position_seen(reply.position)
-        self.log_commit(session.database, request_id, start, reply)
+        self.log_commit(session, request_id, start, reply)
         if reply.problem is None and self.wrote:
             session.record_position(reply.position)
             self.group.suspicion.commit_acknowledged()
@@ -238,17 +254,19 @@
         return reply
 
     def log_commit(
-        self, database: str, request_id: str, start: float, reply: Reply
+        self, session: SessionView, request_id: str, start: float, reply: Reply
     ) -> None:
         """Record the reply to a commit in the log and the measurements."""
         log = self.group.log
         seconds = self.loop.time() - start
         outcome = reply.problem.value if reply.problem else "done"
-        log.measurements.answered(database, outcome, seconds)
+        log.measurements.answered(session.database, outcome, seconds)
         write = log.event if reply.problem else log.routine
         write(
             "transaction_ended",
             request=request_id,
+            database=session.database,
+            account=self.connection.account,
             group=self.group.name,
             server=self.pool.server.server_id,
             outcome=outcome,
@@ -256,14 +274,18 @@
             ms=round(seconds * 1000),
         )
 
-    def commit_unanswered(self, request_id: str, start: float) -> Reply:
+    def commit_unanswered(
+        self, session: SessionView, request_id: str, start: float
+    ) -> Reply:
         """Return the reply to a commit that the server did not answer.
 
         The outcome of the commit is in doubt if the transaction wrote.
         """
         if not self.wrote:
-            return self.statement_unanswered(request_id, start)
-        self.report_unanswered("commit_in_doubt", request_id, start, wrote=True)
+            return self.statement_unanswered(session, request_id, start)
+        self.report_unanswered(
+            "commit_in_doubt", session, request_id, start, wrote=True
+        )
         self.drop()
         return Reply(
             problem=Problem.IN_DOUBT,
@@ -273,6 +295,7 @@
     def report_unanswered(
         self,
         event: str,
+        session: SessionView,
         request_id: str,
         start: float,
         wrote: bool = False,
@@ -286,6 +309,8 @@
         self.group.log.event(
             event,
             request=request_id,
+            database=session.database,
+            account=self.connection.account,
             group=self.group.name,
             server=self.pool.server.server_id,
             silent=silent,
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -1,6 +1,7 @@
 """Proxy process that relays caller sessions to fenced database groups."""
 
 import asyncio
+import functools
 import os
 import random
 from collections.abc import Callable, Mapping
@@ -26,6 +27,7 @@
     MemberRows,
 )
 from jackdawcrank.relay.pool_maintenance import PoolMaintenance
+from jackdawcrank.relay.queue_reports import QueueReports, directory_pools
 from jackdawcrank.relay.relay_settings import RelaySettings
 from jackdawcrank.relay.statement_runner import StatementRunner
 from jackdawcrank.relay.store_health import StoreHealth
@@ -220,6 +222,9 @@
             rng,
         )
         self.pool_maintenance = PoolMaintenance(self.directory)
+        self.queue_reports = QueueReports(
+            functools.partial(directory_pools, self.directory), log
+        )
         self.idle_transactions = IdleTransactions(self.directory, front, log)
         self.graceful_shutdown = GracefulShutdown(
             front, self.home_server, settings.stop_grace_seconds, log
@@ -312,6 +317,7 @@
         await self.upstream_selector.start(self.timer)
         await self.front.start(self)
         await self.pool_maintenance.start(self.timer)
+        await self.queue_reports.start(self.timer)
         await self.idle_transactions.start(self.timer)
         await self.succession.start(self.timer)
 
@@ -376,6 +382,7 @@
         await self.home_server.close()
         for follower in self.followers.values():
             await follower.close()
+        await self.queue_reports.close()
         await self.directory.close()
         await self.store.close()
         self.log.event("stopped")
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/remote_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/remote_transaction.py
@@ -116,6 +116,7 @@
             "home_lost",
             request=request_id,
             database=session.database,
+            account=session.account,
             outcome=outcome.value,
         )
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -91,6 +91,8 @@
       runs: Number of attempts that a server received and did not refuse.
       admission: Admits the operation within its account's limit; None if it is
         not limited.
+      priority: The priority of the caller's database in the latest attempt.
+      account: The client account in the latest attempt; empty for none.
     """
 
     deadline: float
@@ -105,6 +107,8 @@
     needed: Position | None = None
     runs: int = 0
     admission: Admission | None = None
+    priority: int = 0
+    account: str = ""
 
 
 class StatementRunner:
@@ -257,6 +261,7 @@
             attempts=attempts.count,
             ms=round(seconds * 1000),
             outcome=outcome,
+            account=session.account,
             reason="" if clean else attempts.reason,
             version=group.declared_version,
         )
@@ -522,6 +527,9 @@
                 attempts.excluded.add(pool.server.server_id)
         elif problem is Problem.BUSY:
             pool.limiter.refused()
+            pool.queue_statistics.refused_by_server(
+                attempts.priority, attempts.account
+            )
             pool.condition.failed(now)
 
     async def begin(
@@ -555,6 +563,7 @@
             "transaction_refused",
             request=request_id,
             database=session.database,
+            account=session.account,
             attempts=attempts.count,
             reason=attempts.reason,
         )
@@ -637,6 +646,8 @@
         """Return a connection of a pool, or None if there is none in time."""
         spec, group = resolved(session)
         attempts.server = pool.server.server_id
+        attempts.priority = spec.priority
+        attempts.account = session.account
         granted = await pool.acquire(
             session.context,
             self.wait_limits(spec, pool, attempts),
