--- a/packages/jackdawcrank-cli/src/jackdawcrank_cli/main.py
+++ b/packages/jackdawcrank-cli/src/jackdawcrank_cli/main.py
@@ -13,6 +13,7 @@
 from jackdawcrank_cli.commands.explain import explain
 from jackdawcrank_cli.commands.get import describe, get
 from jackdawcrank_cli.commands.losses import losses
+from jackdawcrank_cli.commands.queues import queues
 from jackdawcrank_cli.commands.settings import settings
 from jackdawcrank_cli.commands.status import status
 from jackdawcrank_cli.commands.timeline import timeline
@@ -36,6 +37,7 @@
     explain,
     losses,
     accounts,
+    queues,
     settings,
 )
 
@@ -63,7 +65,7 @@
 
 for command in COMMANDS:
     main.add_command(command)
-    if command not in (explain, losses, accounts, settings):
+    if command not in (explain, losses, accounts, queues, settings):
         command.params.append(output_option())
 
 
