--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -135,14 +135,17 @@
             if (
                 not isinstance(reply, Reply)
                 or reply.problem is not Problem.BUSY
-                or reply.state is not SessionState.IN_TRANSACTION
-                or self.loop.time() + pause >= deadline
             ):
                 return reply
-            self.pool.limiter.refused()
             self.pool.queue_statistics.refused_by_server(
                 TRANSACTION_PRIORITY, self.connection.account
             )
+            if (
+                reply.state is not SessionState.IN_TRANSACTION
+                or self.loop.time() + pause >= deadline
+            ):
+                return reply
+            self.pool.limiter.refused()
             await asyncio.sleep(pause)
             refusals += 1
             commands = commands[-1:]
