--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_connection.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_connection.py
@@ -22,6 +22,8 @@
 from jackdawcrank_wire.messages import ColumnInfo
 
 COM_RESET_CONNECTION = 0x1F
+# A server answers these at once, however busy it is.
+PROMPT_STATEMENTS = frozenset({"BEGIN"})
 ERROR_TOO_MANY_CONNECTIONS = 1040
 FIRST_CLIENT_ERROR = 2000
 LAST_CLIENT_ERROR = 2999
@@ -59,6 +61,8 @@
       dirty: Whether a reset must clear session state before reuse.
       statement_sent_at: Monotonic time at which the running statement was
         sent, in seconds; None while idle.
+      prompt: Whether the running statement is one that the server answers at
+        once.
     """
 
     def __init__(self, server: str, driver_connection: Any) -> None:
@@ -67,6 +71,7 @@
         self.usable = True
         self.dirty = False
         self.statement_sent_at: float | None = None
+        self.prompt = False
         self.last_answer_at = time.monotonic()
 
     @classmethod
@@ -123,6 +128,7 @@
         loop = asyncio.get_running_loop()
         deadline_timer = loop.call_later(timeout_seconds, self.close)
         self.statement_sent_at = time.monotonic()
+        self.prompt = sql in PROMPT_STATEMENTS
         try:
             await self.driver_connection.query(sql)
         except asyncmy_errors.MySQLError as error:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/backend/server_pool.py
@@ -280,42 +280,41 @@
         return not all(answers)
 
     def _answer_is_late(self) -> bool:
-        late_before = time.monotonic() - LATE_ANSWER_SECONDS
-        return any(
-            connection.statement_sent_at is not None
-            and connection.statement_sent_at < late_before
-            for connection in self.busy
-        )
+        return any(map(_is_late, self.busy))
 
     async def _drop_silent_busy(self) -> None:
         """Close connections that are dead rather than running slow statements.
 
         If idle connections do not answer either, or have not done so since the
         busy ones last answered, but a new one can be opened, a network device
-        in between has dropped the state of the old ones.
+        in between has dropped the state of the old ones. Without such idle
+        connections, this is known only of a connection that awaits the answer
+        to a statement that no server runs slowly.
         """
-        suspected = [
-            connection
+        suspected = {
+            connection: connection.statement_sent_at
             for connection in self.busy
             if connection.statement_sent_at is not None
-        ]
+        }
         if not await self._check_all_idle():
             # Silent idle connections may have been replaced already.
-            suspected = [
-                connection
-                for connection in suspected
+            suspected = {
+                connection: sent_at
+                for connection, sent_at in suspected.items()
                 if connection.last_answer_at < self.silent_at
-            ]
+                or (connection.prompt and _is_late(connection))
+            }
         if not suspected:
             return
         fresh = await self._open(CONNECT_TIMEOUT_SECONDS)
         if not isinstance(fresh, ServerConnection):
             return
         self._finish_release(fresh)
-        for connection in suspected:
+        for connection, sent_at in suspected.items():
+            # One that has answered meanwhile may run another statement.
             if (
                 connection in self.busy
-                and connection.statement_sent_at is not None
+                and connection.statement_sent_at == sent_at
             ):
                 self.on_drop(self.endpoint.server, "silent")
                 connection.close()
@@ -327,3 +326,11 @@
             if not isinstance(connection, ServerConnection):
                 return
             self._finish_release(connection)
+
+
+def _is_late(connection: ServerConnection) -> bool:
+    """Return whether the answer to a running statement is late."""
+    sent_at = connection.statement_sent_at
+    if sent_at is None:
+        return False
+    return sent_at < time.monotonic() - LATE_ANSWER_SECONDS
--- a/packages/jackdawcrank-proxy/tests/backend/test_server_pool.py
+++ b/packages/jackdawcrank-proxy/tests/backend/test_server_pool.py
@@ -133,6 +133,41 @@
     pool.release(busy)
 
 
+@pytest.mark.parametrize(
+    ("sql", "reasons"),
+    [("BEGIN", ["silent", "lost"]), ("SELECT 1", ["lost"])],
+)
+async def test_only_connection_of_a_pool_is_closed_if_begin_is_unanswered(
+    endpoint: Endpoint,
+    server: BackendServer,
+    dropped: list[str],
+    monkeypatch: pytest.MonkeyPatch,
+    sql: str,
+    reasons: list[str],
+) -> None:
+    """Guards against writes that wait for their deadline on a dead connection.
+
+    A pool that has not opened its other connections has none to ping. Other
+    statements may be slow, so that their connections stay until the deadline.
+    """
+    monkeypatch.setattr(
+        server_pool, "IDLE_CHECK_SECONDS", POLL_INTERVAL_SECONDS
+    )
+    monkeypatch.setattr(
+        server_pool, "LATE_ANSWER_SECONDS", 5 * POLL_INTERVAL_SECONDS
+    )
+    pool = ServerPool(endpoint, 1, 0, lambda server, why: dropped.append(why))
+    busy = await pool.acquire(2.0)
+    assert isinstance(busy, ServerConnection)
+    server.silence()
+    pool.start()
+    answer = await busy.run(sql, 100 * POLL_INTERVAL_SECONDS)
+    assert isinstance(answer, LostAnswer)
+    pool.release(busy)
+    assert dropped == reasons
+    await pool.close()
+
+
 async def test_closed_connections_are_replaced_without_a_ping(
     pool: ServerPool,
     server: BackendServer,
