--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/history/__init__.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/history/__init__.py
@@ -2,6 +2,7 @@
 
 from jackdawcrank_standins.history.check_history import check_history
 from jackdawcrank_standins.history.history import History
+from jackdawcrank_standins.history.idle_time_loop import IdleTimeLoop
 from jackdawcrank_standins.history.model_server import ModelServer
 from jackdawcrank_standins.history.records import (
     CallerOutcome,
@@ -19,6 +20,7 @@
     "CallerOutcome",
     "CallerRecord",
     "History",
+    "IdleTimeLoop",
     "LogEntry",
     "ModelServer",
     "Rule",
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/row_tables.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/row_tables.py
@@ -5,7 +5,6 @@
 import collections
 import contextlib
 import json
-import time
 
 import attrs
 from aiohttp import web
@@ -169,7 +168,7 @@
 
     def answer(self, rows: list[dict[str, object]]) -> web.Response:
         """Return a response with rows and the current version."""
-        now_ms = int(time.monotonic() * 1000)
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
         return web.json_response(
             {"rows": rows, "hasMore": False, "ver": self.ver, "nowMs": now_ms}
         )
@@ -193,7 +192,8 @@
         """Return the changes after a version; long-poll until there are any."""
         table = request.query["table"]
         after = int(request.query["after"])
-        deadline = time.monotonic() + int(request.query["waitMs"]) / 1000
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + int(request.query["waitMs"]) / 1000
         self.feed_calls[table] += 1
         fault_response = await self.fault_response("/rows-feed")
         while True:
@@ -206,7 +206,7 @@
                 for ver, of, key, value in self.history
                 if of == table and ver > after
             ]
-            left = deadline - time.monotonic()
+            left = deadline - loop.time()
             if found or left <= 0:
                 return self.answer(found)
             with contextlib.suppress(TimeoutError):
