--- a/packages/jackdawcrank-proxy/src/jackdawcrank/front/front_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/front/front_server.py
@@ -15,8 +15,9 @@
 from jackdawcrank.front.logins import Logins
 from jackdawcrank.front.packets import error_packet, frame_packet
 from jackdawcrank.front.statement_router import StatementRouter
-from jackdawcrank.results.errors import not_run
+from jackdawcrank.results.errors import not_run, shutting_down
 from jackdawcrank.tasks import cancel_and_wait
+from jackdawcrank_wire.messages import ResultError
 from jackdawcrank_wire.settings import CallerLogin
 
 PACKET_TIMEOUT_SECONDS = 10.0
@@ -32,6 +33,7 @@
       host: The address to listen on.
       port: The TCP port; after `start`, the one actually bound.
       connections: The open connections and their tasks.
+      draining: Whether new connections are refused.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
 
     async def close(self) -> None:
         """Close all connections immediately."""
+        self.draining = True
         self._stop_listening()
         await cancel_and_wait(self.connections.values())
 
@@ -114,8 +117,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         assert isinstance(reader, BoundedReader)
+        if self.draining:
+            # Accepted before listening stopped, but unknown to `drain`.
+            await self._refuse(writer, shutting_down())
+            return
         if len(self.connections) >= self.max_connections:
-            await self._refuse(writer)
+            full = not_run("overloaded", "Too many connections", 1040, "08004")
+            await self._refuse(writer, full)
             return
         connection = self._make_connection(reader, writer)
         task = asyncio.current_task()
@@ -147,8 +155,9 @@
         connection.connection_id = connection_id
         return connection
 
-    async def _refuse(self, writer: asyncio.StreamWriter) -> None:
-        error = not_run("overloaded", "Too many connections", 1040, "08004")
+    async def _refuse(
+        self, writer: asyncio.StreamWriter, error: ResultError
+    ) -> None:
         with contextlib.suppress(OSError):
             writer.write(frame_packet(error_packet(error), 0))
             await writer.drain()
--- a/packages/jackdawcrank-proxy/tests/system/test_failures.py
+++ b/packages/jackdawcrank-proxy/tests/system/test_failures.py
@@ -179,6 +179,7 @@
     system = own_callers.system
     stop = False
     errors: list[str] = []
+    writing: set[str] = set()
 
     def work(callers: Any, name: str) -> int:
         written = 0
@@ -189,6 +190,7 @@
                         f"INSERT INTO bookings VALUES ('{name}-{written}')"
                     )
                     written += 1
+                    writing.add(name)
                 except pymysql.MySQLError as error:
                     errors.append(str(error.args[-1]))
                     return written
@@ -197,6 +199,8 @@
     workers = asyncio.gather(
         *(asyncio.to_thread(work, own_callers, f"w{n}") for n in range(6))
     )
+    # The drain refuses the logins of writers that are not connected yet.
+    await until(lambda: len(writing) == 6)
     await asyncio.sleep(0.4)
     proxy = system.proxies["vm3"]
     await proxy.drain("test")
