--- a/packages/jackdawcrank-proxy/tests/backend/test_server_pool.py
+++ b/packages/jackdawcrank-proxy/tests/backend/test_server_pool.py
@@ -16,6 +16,9 @@
 from jackdawcrank.backend.server_pool import ServerPool
 from jackdawcrank_standins.backend import BackendServer
 
+# Every test shortens the time limit of a ping to 50 ms.
+pytestmark = pytest.mark.serial
+
 WARM = 5
 POLL_INTERVAL_SECONDS = 0.01
 MAX_POLLS = 300
--- a/packages/jackdawcrank-proxy/tests/peers/test_peer_server.py
+++ b/packages/jackdawcrank-proxy/tests/peers/test_peer_server.py
@@ -70,6 +70,7 @@
     await assert_served(pair)
 
 
+@pytest.mark.serial
 async def test_a_connection_that_sends_nothing_is_closed(
     pair: typing.Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/packages/jackdawcrank-proxy/tests/peers/test_peer_stream_pool.py
+++ b/packages/jackdawcrank-proxy/tests/peers/test_peer_stream_pool.py
@@ -65,6 +65,7 @@
     assert answers == [name.decode() for name in names]
 
 
+@pytest.mark.serial
 async def test_a_late_answer_is_dropped(
     pair: typing.Any, eventually: typing.Any
 ) -> None:
@@ -148,6 +149,7 @@
     assert pair.interceptor.accepted == 1
 
 
+@pytest.mark.serial
 async def test_silence_while_idle_leaves_no_outcome_unknown(
     pair: typing.Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -264,6 +266,7 @@
     assert pair.b.stub_handler.seen == [b"held"]
 
 
+@pytest.mark.serial
 async def test_a_closing_peer_finishes_its_requests_and_takes_no_new_ones(
     pair: typing.Any, eventually: typing.Any
 ) -> None:
--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/__init__.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/__init__.py
@@ -11,6 +11,7 @@
 )
 from jackdawcrank_standins.users_platform.line_group import LineGroup
 from jackdawcrank_standins.users_platform.line_server import LineServer, Run
+from jackdawcrank_standins.users_platform.port_blocks import free_ports
 from jackdawcrank_standins.users_platform.row_tables import RowTables
 from jackdawcrank_standins.users_platform.standin_platform import (
     StandinPlatform,
@@ -24,4 +25,5 @@
     "RowTables",
     "Run",
     "StandinPlatform",
+    "free_ports",
 ]
--- a/packages/jackdawcrank-standins/tests/backend/test_connection.py
+++ b/packages/jackdawcrank-standins/tests/backend/test_connection.py
@@ -232,6 +232,7 @@
     await asyncio.to_thread(work)
 
 
+@pytest.mark.serial
 async def test_silent_connections(
     primary: BackendServer, group: BackendGroup
 ) -> None:
