--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/congestion_window.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/congestion_window.py
@@ -25,11 +25,32 @@
       size: The current limit, as a fraction; `admits` rounds it down.
       max_size: The upper bound of `size`.
       decreased_at: When the window was last decreased, in seconds.
+      granted: The limit that the capacity holder of the group has granted;
+        None while the window follows answers and refusals.
     """
 
     size: float
     max_size: float
     decreased_at: float = float("-inf")
+    granted: int | None = None
+
+    def grant(self, places: int) -> None:
+        """Use a granted limit, whatever the answers and refusals.
+
+        Args:
+          places: The number of statements that may be in flight.
+        """
+        self.granted = places
+        self.size = min(self.max_size, places)
+
+    def end_grant(self, size: float) -> None:
+        """Follow answers and refusals again.
+
+        Args:
+          size: The limit to begin with.
+        """
+        self.granted = None
+        self.size = min(self.max_size, size)
 
     def admits(self, under_way: int) -> bool:
         """Return whether another statement may be sent.
@@ -41,6 +62,8 @@
 
     def answered(self) -> None:
         """Record an answer, which increases the window."""
+        if self.granted is not None:
+            return
         self.size = min(
             self.max_size, self.size + INCREASE_STEP / max(1.0, self.size)
         )
@@ -51,6 +74,8 @@
         Args:
           now: The current time in seconds.
         """
+        if self.granted is not None:
+            return
         if now - self.decreased_at >= DECREASE_INTERVAL_SECONDS:
             self.size = max(1.0, self.size * DECREASE_FACTOR)
             self.decreased_at = now
--- a/packages/jackdawcrank-policy/tests/waiting/test_congestion_window.py
+++ b/packages/jackdawcrank-policy/tests/waiting/test_congestion_window.py
@@ -77,3 +77,15 @@
     refusals, busy = simulate(limited=True)
     assert busy >= 0.95
     assert refusals <= simulate(limited=False)[0] / 4
+
+
+def test_granted_limit_ignores_answers_and_refusals() -> None:
+    """Guards against a home that exceeds or shrinks its granted share."""
+    window = CongestionWindow(2.0, 16.0)
+    window.grant(5)
+    window.answered()
+    window.refused(1.0)
+    assert window.size == 5
+    window.end_grant(1.5)
+    window.answered()
+    assert window.size > 1.5
