--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -82,6 +82,24 @@
             **HOLDER,
         },
     ),
+    EventSpec(
+        "capacity_holder",
+        "this VM begins to allocate the capacity of a group's servers to homes",
+        {**GROUP, "homes": "homes of the group that this VM knows"},
+    ),
+    EventSpec(
+        "capacity_shares",
+        "at most every 5 s for each contended server, by the VM that allocates "
+        "its capacity",
+        {
+            **GROUP,
+            **SERVER,
+            "total": "permits (statements in flight) of the server, estimated",
+            "demand": "largest number of statements in flight and waiting, by "
+            "home that reported in the last second",
+            "places": "permits granted, by home",
+        },
+    ),
     EventSpec(
         "started",
         "the process begins",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
@@ -249,6 +249,8 @@
         connection = self.take_idle(context, account)
         if connection is not None:
             return self.check_out(connection)
+        if self.count >= self.limit or not self.limiter.has_room():
+            self.limiter.contention.waited(self.demand() + 1)
         ahead = self.queue.ahead_of(limits.priority, account)
         wait = self.wait_estimator.wait_seconds(ahead, self.limit)
         if self.count >= self.limit and now + wait >= deadline:
@@ -273,6 +275,10 @@
         finally:
             self.queue.cancel(waiter)
 
+    def demand(self) -> int:
+        """Return the number of statements in flight and waiting."""
+        return self.queue.length + self.limiter.demand()
+
     def check_out(self, granted: OpenResult) -> OpenResult:
         """Record that a connection is in use from now on."""
         if not isinstance(granted, NotOpened):
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
@@ -38,6 +38,8 @@
     RESEND = 15
     ALLOWANCE_REQUEST = 16
     ALLOWANCE_GRANT = 17
+    CAPACITY_REPORT = 18
+    CAPACITY_GRANT = 19
 
 
 Fields = list[typing.Any]
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_router.py
@@ -92,6 +92,7 @@
       followers: The followers of the store's tables, by table.
       detect_dead_peer: Sets the socket options that detect a dead peer.
       on_grant: Receives the fields of granted tokens of client accounts.
+      on_capacity: Receives the fields of granted shares of servers.
       routes: Connection state of the other proxies, by VM.
     """
 
@@ -109,6 +110,7 @@
         self.followers = followers
         self.detect_dead_peer = detect_dead_peer
         self.on_grant: GrantHandler = ignore_grant
+        self.on_capacity: GrantHandler = ignore_grant
         self.routes: dict[str, Route] = {}
         self.loop = asyncio.get_running_loop()
 
@@ -310,6 +312,7 @@
                 self.detect_dead_peer,
                 self.log,
                 self.on_grant,
+                self.on_capacity,
             )
         finally:
             route.opening = None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
@@ -9,6 +9,7 @@
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.account_limits import AccountLimits
 from jackdawcrank.relay.caller_session import INTERNAL_ERROR
+from jackdawcrank.relay.capacity_shares import CapacityShares
 from jackdawcrank.relay.directory import Directory
 from jackdawcrank.relay.frame_protocol import FrameProtocol
 from jackdawcrank.relay.group_relay import GroupRelay
@@ -143,6 +144,9 @@
             elif kind is Kind.ALLOWANCE_REQUEST:
                 if self.home.account_limits is not None:
                     self.send(self.home.account_limits.request_received(fields))
+            elif kind is Kind.CAPACITY_REPORT:
+                if self.home.capacity_shares is not None:
+                    self.send(self.home.capacity_shares.report_received(fields))
             elif kind is Kind.UNDO:
                 _, transaction = self.transactions.pop(fields[0], (None, None))
                 if transaction is not None:
@@ -280,6 +284,8 @@
         proxies.
       account_limits: Answers requests for tokens of client accounts; None if
         accounts are not limited.
+      capacity_shares: Answers reports on contended servers; None if homes do
+        not share capacity.
       connections: The open connections.
       forwarding_seen: Set when a proxy has forwarded a request to this home.
       server: The listening server, or None before the start.
@@ -295,6 +301,7 @@
         detect_dead_peer: Callable[[asyncio.BaseTransport], None],
         table_publisher: TablePublisher,
         account_limits: AccountLimits | None = None,
+        capacity_shares: CapacityShares | None = None,
     ) -> None:
         self.host = host
         self.port = port
@@ -304,6 +311,7 @@
         self.detect_dead_peer = detect_dead_peer
         self.table_publisher = table_publisher
         self.account_limits = account_limits
+        self.capacity_shares = capacity_shares
         self.connections: set[HomeConnection] = set()
         self.forwarding_seen = asyncio.Event()
         self.server: asyncio.Server | None = None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
@@ -38,7 +38,7 @@
 
 
 def ignore_grant(_fields: Fields) -> None:
-    """Ignore a grant, on a proxy that limits no client accounts."""
+    """Ignore a grant, on a proxy that has asked for none."""
 
 
 @attrs.frozen
@@ -75,6 +75,7 @@
       detect_dead_peer: Sets the socket options that detect a dead peer.
       log: Records malformed messages.
       on_grant: Receives the fields of granted tokens of client accounts.
+      on_capacity: Receives the fields of granted shares of servers.
       leaving: Whether the home has asked for no new requests.
       subscribed: The tables to which this proxy is subscribed.
       subscribed_at: When the last subscription was sent.
@@ -93,12 +94,14 @@
         detect_dead_peer: Callable[[asyncio.BaseTransport], None],
         log: DecisionLog,
         on_grant: GrantHandler = ignore_grant,
+        on_capacity: GrantHandler = ignore_grant,
     ) -> None:
         super().__init__()
         self.followers = followers
         self.detect_dead_peer = detect_dead_peer
         self.log = log
         self.on_grant = on_grant
+        self.on_capacity = on_capacity
         self.leaving = False
         self.subscribed: set[str] = set()
         self.subscribed_at = 0.0
@@ -172,6 +175,8 @@
                 self.record_heartbeat(*fields)
             elif kind is Kind.ALLOWANCE_GRANT:
                 self.on_grant(fields)
+            elif kind is Kind.CAPACITY_GRANT:
+                self.on_capacity(fields)
             elif kind is Kind.LEAVING:
                 self.leaving = True
         except (ValueError, TypeError, KeyError, AttributeError) as error:
@@ -284,6 +289,7 @@
     detect_dead_peer: Callable[[asyncio.BaseTransport], None],
     log: DecisionLog,
     on_grant: GrantHandler = ignore_grant,
+    on_capacity: GrantHandler = ignore_grant,
 ) -> HomeStream | None:
     """Return a stream to a home, or None if it cannot be reached.
 
@@ -293,12 +299,15 @@
       detect_dead_peer: Sets the socket options that detect a dead peer.
       log: Records malformed messages.
       on_grant: Receives the fields of granted tokens of client accounts.
+      on_capacity: Receives the fields of granted shares of servers.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(HOME_CONNECT_TIMEOUT_SECONDS):
             _, stream = await loop.create_connection(
-                lambda: HomeStream(followers, detect_dead_peer, log, on_grant),
+                lambda: HomeStream(
+                    followers, detect_dead_peer, log, on_grant, on_capacity
+                ),
                 member.host,
                 member.port,
             )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/homes.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/homes.py
@@ -18,12 +18,14 @@
       rows: Holds the known VMs.
       cached_members: The members from which `cached_rankings` were computed.
       cached_rankings: The results of `ranked_members` by the group's name.
+      cached_homes: The results of `homes_by_weight` by the group's name.
     """
 
     def __init__(self, rows: MemberRows) -> None:
         self.rows = rows
         self.cached_members: dict[str, Member] = {}
         self.cached_rankings: dict[str, tuple[Member, ...]] = {}
+        self.cached_homes: dict[str, tuple[str, ...]] = {}
 
     def plan(self, group: ServedGroup) -> HomePlan:
         """Return how a group's connections are split among homes.
@@ -47,6 +49,7 @@
         if members is not self.cached_members:
             self.cached_members = members
             self.cached_rankings = {}
+            self.cached_homes = {}
         found = self.cached_rankings.get(group.name)
         if found is None:
             region = self.rows.own.region
@@ -59,6 +62,34 @@
             self.cached_rankings[group.name] = found
         return found
 
+    def homes_by_weight(self, group: ServedGroup) -> tuple[str, ...]:
+        """Return a group's homes of all regions in rendezvous order.
+
+        There are none while every VM is a home.
+
+        Args:
+          group: The group.
+        """
+        plan = self.plan(group)
+        if plan.on_every_vm:
+            return ()
+        # Discards the results for earlier members.
+        self.ranked_members(group)
+        found = self.cached_homes.get(group.name)
+        if found is None:
+            by_region: dict[str, list[Member]] = {}
+            for one in self.rows.members.values():
+                by_region.setdefault(one.region, []).append(one)
+            homes = [
+                home.vm
+                for members in by_region.values()
+                for home in region_homes(group.name, members, plan.per_region)
+            ]
+            homes.sort(key=lambda vm: (-vm_weight(group.name, vm), vm))
+            found = tuple(homes)
+            self.cached_homes[group.name] = found
+        return found
+
     def is_home(self, group: ServedGroup) -> bool:
         """Return whether this VM is one of a group's homes.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_limiter.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_limiter.py
@@ -4,6 +4,7 @@
 import enum
 from collections.abc import Callable
 
+from jackdawcrank_policy.capacity import Contention
 from jackdawcrank_policy.waiting import (
     CongestionWindow,
     OverloadDetector,
@@ -39,6 +40,7 @@
       queue: Statements that wait to be admitted.
       wait_estimator: Estimates queue waits from how long statements take.
       overload_detector: Sets the wait limit of new statements.
+      contention: Counts the demand and refusals for the capacity holder.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         self.queue: FairWaitQueue[asyncio.Future[None]] = FairWaitQueue()
         self.wait_estimator = WaitEstimator()
         self.overload_detector = OverloadDetector()
+        self.contention = Contention()
         self.loop = asyncio.get_running_loop()
 
     async def enter(
@@ -71,7 +74,9 @@
         )
         if self.has_room():
             self.in_flight_count += 1
+            self.contention.entered(self.in_flight_count)
             return LimiterResult.GRANTED
+        self.contention.waited(self.demand() + 1)
         ahead = self.queue.ahead_of(limits.priority, account)
         wait = self.wait_estimator.wait_seconds(ahead, int(self.window.size))
         if now + wait >= deadline:
@@ -102,6 +107,10 @@
             self.window.admits(self.in_flight_count) and not self.queue.length
         )
 
+    def demand(self) -> int:
+        """Return the number of statements in flight and waiting."""
+        return self.in_flight_count + self.queue.length
+
     def leave(self, seconds: float) -> None:
         """Record that a statement has ended and admit waiting ones.
 
@@ -115,6 +124,7 @@
 
     def refused(self) -> None:
         """Record that the server refused a statement because it was full."""
+        self.contention.refused()
         self.window.refused(self.loop.time())
 
     def admit_waiting(self) -> None:
