--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -11,7 +11,6 @@
 from jackdawcrank.relay.account_authority import AccountAuthority
 from jackdawcrank.relay.account_limits import AccountLimits
 from jackdawcrank.relay.caller_session import CallerSession
-from jackdawcrank.relay.capacity_shares import CapacityShares
 from jackdawcrank.relay.claim_rows import ClaimRows
 from jackdawcrank.relay.counted_store import CountedStore
 from jackdawcrank.relay.directory import Directory
@@ -80,8 +79,6 @@
       authority: Checks the keys of callers.
       followers: The followers of the store's tables, by table.
       account_limits: Admits operations of client accounts within their limits.
-      capacity_shares: Shares the servers' capacity between homes; None unless
-        the settings enable it.
       router: Runs statements on homes or locally.
       table_applied: Set and replaced whenever a table has a new image or
         change.
@@ -192,13 +189,6 @@
         )
         self.account_limits.router = self.router
         self.router.on_grant = self.account_limits.grant_received
-        self.capacity_shares: CapacityShares | None = None
-        if settings.share_capacity:
-            self.capacity_shares = CapacityShares(
-                self.directory, self.homes, log
-            )
-            self.capacity_shares.router = self.router
-            self.router.on_capacity = self.capacity_shares.grant_received
         self.store_hints = StoreHints(
             self.router, self.members, self.store_health, rng
         )
@@ -216,7 +206,6 @@
             detect_dead_peer,
             self.table_publisher,
             self.account_limits,
-            self.capacity_shares,
         )
         # Unique per process, so that a restarted process does not treat the
         # claim of its predecessor on this VM as its own.
@@ -318,8 +307,6 @@
         for follower in self.followers.values():
             await follower.start()
         await self.account_limits.start(self.timer)
-        if self.capacity_shares:
-            await self.capacity_shares.start(self.timer)
         await self.home_server.start()
         await self.table_publisher.start(self.timer)
         await self.upstream_selector.start(self.timer)
@@ -385,8 +372,6 @@
         await self.store_hints.close()
         await self.table_publisher.close()
         await self.account_limits.close()
-        if self.capacity_shares:
-            await self.capacity_shares.close()
         await self.router.close()
         await self.home_server.close()
         for follower in self.followers.values():
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_settings.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_settings.py
@@ -41,8 +41,6 @@
       health_by_outcome: Whether servers that fail more reads than their peers
         get fewer of them.
       accounts: The promises about client accounts.
-      share_capacity: Whether the homes of a group share the capacity of its
-        servers by demand.
     """
 
     vm: str
@@ -57,4 +55,3 @@
     first_start: bool = False
     health_by_outcome: bool = False
     accounts: AccountBounds = AccountBounds()
-    share_capacity: bool = False
