--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/connection_choice.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/accounts/connection_choice.py
@@ -11,6 +11,10 @@
 # connection costs 12 ms of one of the server's 4 slots, as much as two short
 # statements, and the objectives are 251 ms and more.
 REUSE_SECONDS = 0.05
+# Share of a pool's connections that transactions leave to single statements,
+# which hold one for 6 to 30 ms; a transaction also holds it while its caller
+# pauses.
+SINGLE_STATEMENT_SHARE = 0.25
 # Half-life of the use of an account: as long as a load burst (4 to 6 s).
 USE_HALF_LIFE_SECONDS = 5.0
 # Accounts with less use than this are forgotten, about 50 s after their last
@@ -175,6 +179,28 @@
     return not holds_share or first.waited_seconds >= REUSE_SECONDS
 
 
+def may_hold_transaction(
+    limit: int, held: int, own: int, accounts: int, others_wait: bool
+) -> bool:
+    """Return whether another transaction may hold a connection.
+
+    Addresses transactions whose callers pause: without a limit, those of one
+    account hold all connections of a pool while other accounts wait.
+
+    Args:
+      limit: The pool's limit of connections.
+      held: The number of connections that transactions hold.
+      own: Their number of the transaction's account.
+      accounts: The number of accounts that hold connections or wait for one.
+      others_wait: Whether requests of other accounts, of the same or a higher
+        priority, have waited for `REUSE_SECONDS`.
+    """
+    left = math.ceil(limit * SINGLE_STATEMENT_SHARE) if limit > 1 else 0
+    if held >= limit - left:
+        return False
+    return not others_wait or own < fair_share(limit, accounts)
+
+
 def fair_share(total: float, accounts: int) -> int:
     """Return how many of `total` each of several accounts may have at least.
 
--- a/packages/jackdawcrank-policy/tests/accounts/test_connection_choice.py
+++ b/packages/jackdawcrank-policy/tests/accounts/test_connection_choice.py
@@ -11,6 +11,7 @@
     choose_waiter,
     fair_share,
     may_evict,
+    may_hold_transaction,
 )
 
 FRESH = WaitingRequest("b", 1, REUSE_SECONDS * 0.9)
@@ -83,6 +84,35 @@
     assert [fair_share(16, n) for n in (1, 3, 40)] == [16, 5, 1]
 
 
+@pytest.mark.parametrize(
+    ("limit", "held", "own", "accounts", "others_wait", "expected"),
+    [
+        (16, 11, 11, 4, False, True),
+        # A quarter is left to single statements, and at least 1 of 2.
+        (16, 12, 0, 4, False, False),
+        (3, 2, 0, 4, False, False),
+        (2, 1, 0, 4, False, False),
+        (1, 0, 0, 4, True, True),
+        # The share counts only while others wait, and is at least 1.
+        (16, 4, 4, 4, True, False),
+        (16, 8, 3, 4, True, True),
+        (16, 8, 0, 40, True, True),
+    ],
+)
+def test_transactions_leave_connections_to_others(
+    limit: int,
+    held: int,
+    own: int,
+    accounts: int,
+    others_wait: bool,
+    expected: bool,
+) -> None:
+    # Fails if transactions whose callers pause can hold all connections, or if
+    # an account can hold none.
+    chosen = may_hold_transaction(limit, held, own, accounts, others_wait)
+    assert chosen is expected
+
+
 def test_use_decays_and_is_forgotten() -> None:
     # Fails if the state grows with the accounts ever seen.
     use = AccountUse()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_opening.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_opening.py
@@ -73,6 +73,7 @@
         if isinstance(outcome, NotOpened):
             self.open_failed(outcome)
         else:
+            self.close_for_full = False
             self.condition.position_seen(outcome.first_position)
             self.release(outcome)
         # The request that got this connection enters the limiter first.
@@ -98,6 +99,7 @@
         )
         if outcome.failure is OpenFailure.FULL:
             self.full_until = now + FULL_PAUSE_SECONDS
+            self.close_for_full = True
             self.loop.call_later(FULL_PAUSE_SECONDS, self.open_more)
             if self.count:
                 return
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
@@ -4,6 +4,7 @@
 
 from jackdawcrank.relay.connection_opening import OPEN_TIMEOUT_SECONDS
 from jackdawcrank.relay.connection_requests import (
+    AccountShares,
     ConnectionRequest,
     OpenResult,
     WaitLimitExceeded,
@@ -33,11 +34,17 @@
     """
 
     async def acquire(
-        self, context: SessionContext, limits: WaitLimits, account: str = ""
+        self,
+        context: SessionContext,
+        limits: WaitLimits,
+        account: str = "",
+        transaction: bool = False,
     ) -> OpenResult | WaitLimitExceeded:
         """Return a connection on which a statement may be sent.
 
-        Waits for a connection if all are in use, and then for the limiter.
+        Waits for a connection if all are in use, and then for the limiter. The
+        wait limit of a request of a client account is judged once for both
+        waits.
 
         Args:
           context: The session's settings and prepared statements. The idle
@@ -45,46 +52,102 @@
           limits: Priority and wait limits of the statement, in seconds on the
             loop's clock.
           account: The client account of the statement; empty for none.
+          transaction: Whether a transaction will hold the connection.
 
         Returns:
           The connection, why none could be opened, or that the wait limit was
           exceeded.
         """
-        granted = await self.connect(context, limits, account)
+        deadline = None
+        if self.judges_once(account):
+            deadline = self.limiter.overload_detector.wait_deadline(
+                self.loop.time(),
+                self.queue.length + self.limiter.queue.length,
+                limits,
+            )
+        granted = await self.connect(
+            context, limits, account, deadline, transaction
+        )
         if isinstance(granted, (NotOpened, WaitLimitExceeded)):
             return granted
         # The connection is acquired before the limiter, since a statement that
         # the limiter has admitted must not wait for a connection: transactions
         # keep their connections while their statements wait for the limiter.
         try:
-            result = await self.limiter.enter(limits, account)
+            result = await self.limiter.enter(
+                limits, account, deadline, granted
+            )
         except asyncio.CancelledError:
             self.release(granted)
             raise
         if result is LimiterResult.GRANTED:
             self.executing[granted] = self.loop.time()
             return granted
+        if result is LimiterResult.CONNECTION_LOST:
+            # Nothing was sent, so the statement may use another connection.
+            self.discard(granted)
+            self.on_lost()
+            return await self.acquire(context, limits, account, transaction)
         self.release(granted)
         return WaitLimitExceeded()
 
+    def judges_once(self, account: str) -> bool:
+        """Return whether both waits of a request have one wait limit.
+
+        Without client accounts, a connection is opened only if the limiter has
+        room, so that statements hardly wait twice.
+        """
+        return bool(account)
+
     async def connect(
-        self, context: SessionContext, limits: WaitLimits, account: str
+        self,
+        context: SessionContext,
+        limits: WaitLimits,
+        account: str,
+        deadline: float | None,
+        transaction: bool,
     ) -> OpenResult | WaitLimitExceeded:
-        """Return an idle or new connection, or wait for one."""
+        """Return an idle or new connection, or wait for one.
+
+        Args:
+          context: The session's settings and prepared statements.
+          limits: Priority and wait limits of the statement.
+          account: The client account of the statement; empty for none.
+          deadline: End of the wait for the connection and the limiter, in
+            seconds on the loop's clock; None if each has its own.
+          transaction: Whether a transaction will hold the connection.
+        """
         now = self.loop.time()
-        deadline = self.overload_detector.wait_deadline(
-            now, self.queue.length, limits
+        judged = deadline is not None
+        if deadline is None:
+            deadline = self.overload_detector.wait_deadline(
+                now, self.queue.length, limits
+            )
+        granted: asyncio.Future[OpenResult] = self.loop.create_future()
+        request = ConnectionRequest(
+            account, limits.priority, now, granted, transaction
+        )
+        if AccountShares(self).may_serve(request):
+            connection = self.take_idle(context, account)
+            if connection is not None:
+                if transaction:
+                    self.transactions.add(connection)
+                return self.check_out(connection)
+        in_time_until = self.limiter.in_time_until(limits)
+        ahead = self.queue.ahead_of(
+            limits.priority, account, in_time_until, now
         )
-        connection = self.take_idle(context, account)
-        if connection is not None:
-            return self.check_out(connection)
-        ahead = self.queue.ahead_of(limits.priority, account)
-        wait = self.wait_estimator.wait_seconds(ahead, self.limit)
-        if self.count >= self.limit and now + wait >= deadline:
+        wait = 0.0
+        if self.count >= self.limit:
+            wait = self.wait_estimator.wait_seconds(ahead, self.limit)
+        if judged:
+            wait += self.limiter.expected_wait(limits, account)
+        if wait and now + wait >= deadline:
             return WaitLimitExceeded()
-        granted: asyncio.Future[OpenResult] = self.loop.create_future()
-        request = ConnectionRequest(account, now, granted)
-        waiter = self.queue.enqueue(limits.priority, deadline, request, account)
+        waiter = self.queue.enqueue(
+            limits.priority, deadline, request, account, in_time_until
+        )
+        self.waiting_transactions += transaction
         self.open_more()
         try:
             async with asyncio.timeout_at(deadline):
@@ -101,6 +164,10 @@
             raise
         finally:
             self.queue.cancel(waiter)
+            self.waiting_transactions -= transaction
+            if self.waiting_transactions and account:
+                # A transaction of another account may be served now.
+                self.open_more()
 
     async def begin_statement(
         self, connection: ServerConnection, deadline: float, account: str = ""
@@ -118,7 +185,12 @@
         """
         limits = WaitLimits(TRANSACTION_PRIORITY, deadline, deadline)
         used_since = self.in_use.get(connection)
-        result = await self.limiter.enter(limits, account or connection.account)
+        result = await self.limiter.enter(
+            limits,
+            account or connection.account,
+            deadline if self.judges_once(connection.account) else None,
+            connection,
+        )
         if result is not LimiterResult.GRANTED:
             return False
         # The connection may serve another request by now.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_requests.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_requests.py
@@ -9,8 +9,10 @@
 
 from jackdawcrank.seams.server_connection import NotOpened, ServerConnection
 from jackdawcrank_policy.accounts.connection_choice import (
+    REUSE_SECONDS,
     WaitingRequest,
     fair_share,
+    may_hold_transaction,
 )
 from jackdawcrank_policy.waiting.fair_wait_queue import FairWaitEntry
 
@@ -31,13 +33,17 @@
 
     Attributes:
       account: The client account that needs the connection; empty for none.
+      priority: Lower values are served first.
       since: When it began to wait, in seconds on the loop's clock.
       granted: Receives the connection, or why none was opened.
+      transaction: Whether a transaction will hold the connection.
     """
 
     account: str
+    priority: int
     since: float
     granted: asyncio.Future[OpenResult]
+    transaction: bool = False
 
 
 Waiter = FairWaitEntry[ConnectionRequest]
@@ -72,6 +78,41 @@
         held.update(self.pool.opening_for)
         return held
 
+    @functools.cached_property
+    def in_transactions(self) -> collections.Counter[str]:
+        """The number of connections that transactions hold, by account."""
+        return collections.Counter(
+            one.account for one in self.pool.transactions
+        )
+
+    def may_serve(self, request: ConnectionRequest) -> bool:
+        """Return whether a request may get a connection now.
+
+        Only transactions of client accounts are limited.
+        """
+        if not request.transaction or not request.account:
+            return True
+        return may_hold_transaction(
+            self.pool.limit,
+            self.in_transactions.total(),
+            self.in_transactions[request.account],
+            self.active,
+            self.others_wait(request),
+        )
+
+    def others_wait(self, request: ConnectionRequest) -> bool:
+        """Return whether requests of other accounts wait for too long.
+
+        Only those of the same or a higher priority count. A request that has
+        waited for less than `REUSE_SECONDS` may yet get a connection that its
+        account returns.
+        """
+        latest = self.pool.loop.time() - REUSE_SECONDS
+        return any(
+            one.item.since <= latest and one.account != request.account
+            for one in self.pool.queue.entries(request.priority)
+        )
+
     @functools.cached_property
     def active(self) -> int:
         """The number of accounts that hold connections or wait for one."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/pool_connections.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/pool_connections.py
@@ -64,10 +64,14 @@
       opening: Number of connections that are being opened.
       opening_for: Their number by account.
       account_use: The recent use of connections by account.
+      close_for_full: Whether an idle connection is to be closed because the
+        server refused a new one as full.
       full_until: No connection is opened before this time, in seconds on the
         loop's clock, because the server was full.
       in_use: The time at which each connection in use was checked out, in
         seconds on the loop's clock.
+      transactions: The connections that transactions hold.
+      waiting_transactions: Number of transactions that wait for a connection.
       queue: Requests that wait for a connection.
       wait_estimator: Estimates queue waits from how long connections are in
         use.
@@ -102,6 +106,7 @@
         self.opening_for: collections.Counter[str] = collections.Counter()
         self.account_use = AccountUse()
         self.full_until = 0.0
+        self.close_for_full = False
         self.limiter = StatementLimiter(
             max(MIN_WINDOW, window), limit, log.measurements.waited
         )
@@ -109,6 +114,8 @@
         self.wait_estimator = WaitEstimator()
         self.overload_detector = OverloadDetector()
         self.in_use: dict[ServerConnection, float] = {}
+        self.transactions: set[ServerConnection] = set()
+        self.waiting_transactions = 0
         self.queue: FairWaitQueue[ConnectionRequest] = FairWaitQueue()
         self.reuse_handle: asyncio.TimerHandle | None = None
         self.retired = False
@@ -131,6 +138,7 @@
 
     def check_in(self, connection: ServerConnection) -> None:
         """Record that a connection is no longer in use."""
+        self.transactions.discard(connection)
         ended = self.leave_limiter(connection)
         # Otherwise a connection would be opened, and an idle one closed, for a
         # request that may get this connection.
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/request_dispatch.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/request_dispatch.py
@@ -15,6 +15,11 @@
     may_evict,
 )
 
+# Delay before the next attempt to connect to a full server after a connection
+# to it has been closed: three round trips between regions (16 ms each), so that
+# the server sees the closing first.
+FREED_PAUSE_SECONDS = 0.05
+
 
 class RequestDispatch(ConnectionOpening):
     """Gives connections to waiting requests."""
@@ -49,13 +54,35 @@
             return True
         holds_share = shares.holds_connections(waiter.account)
         request = waiting_request(waiter, now)
-        if self.serve_own(request, can_open, holds_share, now):
+        if self.serve_own(request, can_open, shares, now):
             return False
+        if self.close_for_full and may_evict(request, holds_share):
+            self.close_idle_for_full(now)
         if not can_open or not may_evict(request, holds_share):
             self.serve_after_reuse(request)
             return False
         return self.replace_idle(waiter.account)
 
+    def close_idle_for_full(self, now: float) -> None:
+        """Close an idle connection, since the server refused a new one as full.
+
+        No request of its account waits, and the next request is of another
+        account.
+
+        Args:
+          now: The current time, in seconds on the loop's clock.
+        """
+        index = choose_eviction(self.idle_accounts(), self.account_use.counts)
+        if index is None:
+            return
+        self.take(index).close()
+        self.count -= 1
+        self.close_for_full = False
+        until = now + FREED_PAUSE_SECONDS
+        if until < self.full_until:
+            self.full_until = until
+            self.loop.call_at(until, self.open_more)
+
     def serve_after_reuse(self, request: WaitingRequest) -> None:
         """Serve again once a request has waited for `REUSE_SECONDS`.
 
@@ -96,7 +123,7 @@
         It is the first one that an idle connection serves or that no
         connection is being opened for. While all connections are open, requests
         of accounts that hold their share of them come last: they get those that
-        their accounts return.
+        their accounts return. Transactions beyond their limits are passed over.
         """
         if not self.queue.has_accounts() and not self.opening:
             return self.queue.head(now)
@@ -105,6 +132,8 @@
         with_share = None
         for waiter in self.queue.in_order(now):
             account = waiter.account
+            if not shares.may_serve(waiter.item):
+                continue
             if account in idle:
                 return waiter
             if opening[account] > 0:
@@ -131,6 +160,8 @@
             self.loop.call_soon(self.open_more)
             return
         self.queue.serve(waiter)
+        if waiter.item.transaction:
+            self.transactions.add(connection)
         waiter.item.granted.set_result(connection)
         if by_account:
             # The request enters the limiter first.
@@ -140,7 +171,7 @@
         self,
         first: WaitingRequest,
         can_open: bool,
-        holds_share: bool,
+        shares: AccountShares,
         now: float,
     ) -> bool:
         """Serve a request of an idle connection's account before the first.
@@ -148,11 +179,14 @@
         Args:
           first: The next request; no idle connection is of its account.
           can_open: Whether a connection may be opened for it.
-          holds_share: Whether its account holds its share of the connections.
+          shares: The connections that accounts hold.
           now: The current time, in seconds on the loop's clock.
         """
+        holds_share = shares.holds_connections(first.account)
         for index in reversed(range(len(self.idle))):
-            own = self.queue.head_of(self.idle[index].connection.account, now)
+            own = self.queue.head_of(
+                self.idle[index].connection.account, now, shares.may_serve
+            )
             request = waiting_request(own, now) if own else None
             chosen = choose_waiter(first, request, can_open, holds_share)
             if own is not None and chosen is not None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_limiter.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_limiter.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import enum
+import functools
 from collections.abc import Callable
 
+from jackdawcrank.seams.server_connection import ServerConnection
 from jackdawcrank_policy.waiting import (
     CongestionWindow,
     OverloadDetector,
@@ -23,6 +25,8 @@
     GRANTED = "granted"
     WAIT_LIMIT_EXCEEDED = "hopeless"
     """The wait limit passed, or would pass before there is room."""
+    CONNECTION_LOST = "lost"
+    """The connection of the statement was closed while it waited."""
 
 
 class StatementLimiter:
@@ -50,13 +54,19 @@
         self.on_wait = on_wait
         self.window = CongestionWindow(size, max_size)
         self.in_flight_count = 0
-        self.queue: FairWaitQueue[asyncio.Future[None]] = FairWaitQueue()
+        self.queue: FairWaitQueue[asyncio.Future[LimiterResult]] = (
+            FairWaitQueue()
+        )
         self.wait_estimator = WaitEstimator()
         self.overload_detector = OverloadDetector()
         self.loop = asyncio.get_running_loop()
 
     async def enter(
-        self, limits: WaitLimits, account: str = ""
+        self,
+        limits: WaitLimits,
+        account: str = "",
+        deadline: float | None = None,
+        connection: ServerConnection | None = None,
     ) -> LimiterResult:
         """Wait until a statement may be sent.
 
@@ -64,37 +74,72 @@
           limits: Priority and wait limits of the statement, in seconds on the
             loop's clock.
           account: The client account of the statement; empty for none.
+          deadline: End of the wait, in seconds on the loop's clock; None to
+            judge it now.
+          connection: The statement's connection; the wait ends if it is lost.
         """
         now = self.loop.time()
-        deadline = self.overload_detector.wait_deadline(
-            now, self.queue.length, limits
-        )
+        if deadline is None:
+            deadline = self.overload_detector.wait_deadline(
+                now, self.queue.length, limits
+            )
         if self.has_room():
             self.in_flight_count += 1
             return LimiterResult.GRANTED
-        ahead = self.queue.ahead_of(limits.priority, account)
-        wait = self.wait_estimator.wait_seconds(ahead, int(self.window.size))
+        wait = self.expected_wait(limits, account)
         if now + wait >= deadline:
             return LimiterResult.WAIT_LIMIT_EXCEEDED
-        admitted: asyncio.Future[None] = self.loop.create_future()
+        admitted: asyncio.Future[LimiterResult] = self.loop.create_future()
         waiter = self.queue.enqueue(
-            limits.priority, deadline, admitted, account
+            limits.priority,
+            deadline,
+            admitted,
+            account,
+            self.in_time_until(limits),
         )
+        if connection is not None:
+            connection.on_closed = functools.partial(end_wait, admitted)
         try:
             async with asyncio.timeout_at(deadline):
-                await admitted
+                return await admitted
         except TimeoutError:
             if not admitted.done() or admitted.cancelled():
                 return LimiterResult.WAIT_LIMIT_EXCEEDED
         except asyncio.CancelledError:
-            if admitted.done() and not admitted.cancelled():
+            if (
+                admitted.done()
+                and not admitted.cancelled()
+                and admitted.result() is LimiterResult.GRANTED
+            ):
                 self.in_flight_count -= 1
                 self.admit_waiting()
             raise
         finally:
+            if connection is not None:
+                connection.on_closed = None
             self.queue.cancel(waiter)
             self.on_wait(wait, self.loop.time() - now)
-        return LimiterResult.GRANTED
+        return admitted.result()
+
+    def expected_wait(self, limits: WaitLimits, account: str) -> float:
+        """Return the expected wait of a new statement, in seconds."""
+        if self.has_room():
+            return 0.0
+        ahead = self.queue.ahead_of(
+            limits.priority,
+            account,
+            self.in_time_until(limits),
+            self.loop.time(),
+        )
+        return self.wait_estimator.wait_seconds(ahead, int(self.window.size))
+
+    def in_time_until(self, limits: WaitLimits) -> float:
+        """Return until when a statement must be sent to be in time.
+
+        Args:
+          limits: The limits of the statement.
+        """
+        return limits.objective - self.wait_estimator.hold_seconds
 
     def has_room(self) -> bool:
         """Return whether a statement would be admitted immediately."""
@@ -125,4 +170,14 @@
                 return
             if not waiter.item.done():
                 self.in_flight_count += 1
-                waiter.item.set_result(None)
+                waiter.item.set_result(LimiterResult.GRANTED)
+
+
+def end_wait(admitted: asyncio.Future[LimiterResult]) -> None:
+    """End the wait of a statement whose connection was lost.
+
+    Args:
+      admitted: Receives the result of the wait.
+    """
+    if not admitted.done():
+        admitted.set_result(LimiterResult.CONNECTION_LOST)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_runner.py
@@ -1,131 +1,49 @@
 """Execution of callers' statements on the servers of their groups."""
 
-import asyncio
-import typing
-
-import attrs
-
-from jackdawcrank.decisions import DecisionLog
-from jackdawcrank.relay.account_limits import AccountLimits
+from jackdawcrank.relay.attempt_results import AttemptResults
+from jackdawcrank.relay.attempts import (
+    CONNECTION_LOST,
+    MIN_ATTEMPT_SECONDS,
+    NO_PRIMARY,
+    SILENT,
+    UNSERVABLE,
+    Attempts,
+)
 from jackdawcrank.relay.await_reply import await_reply, await_result
 from jackdawcrank.relay.clocks import boot_seconds
-from jackdawcrank.relay.connection_pool import ConnectionPool, WaitLimitExceeded
 from jackdawcrank.relay.execution import (
     Execution,
     send_commands,
     statement_commands,
 )
-from jackdawcrank.relay.group_relay import GroupRelay
 from jackdawcrank.relay.open_transaction import (
     OpenTransaction,
     release_after,
 )
-from jackdawcrank.relay.refusal_backoff import refusal_backoff_seconds
-from jackdawcrank.relay.resolver import Resolver
 from jackdawcrank.relay.session_view import SessionView
+from jackdawcrank.relay.statement_admission import resolved
 from jackdawcrank.seams import commands
 from jackdawcrank.seams.replies import NOT_RUN, Problem, Reply
-from jackdawcrank.seams.server_connection import (
-    NotOpened,
-    OpenFailure,
-    ServerConnection,
-)
-from jackdawcrank_policy.accounts.account_allowance import Admission
-from jackdawcrank_policy.catalog import Consistency, DatabaseSpec
+from jackdawcrank_policy.catalog import Consistency
 from jackdawcrank_policy.values.position import Position
-from jackdawcrank_policy.waiting import OVERLOAD_WAIT_SHARE, WaitLimits
 
-# An answer that takes this many times the expected time counts as lost. Our
-# users' longest statements take 12 times the mean.
-LATE_ANSWER_FACTOR = 12.0
-# Exceeds the longest round trip (80 ms) and the wait in a full server's queue.
-MIN_ATTEMPT_SECONDS = 0.3
-# Leaves half of a statement's time to a second attempt.
-MAX_ATTEMPT_SHARE = 0.5
-# A statement is sent only if the remaining time is at least this multiple of
-# the expected answer time. A write that times out is in doubt, and a read that
-# times out has wasted a slot of the server.
-SEND_FACTOR = 3.0
+__all__ = [
+    "MIN_ATTEMPT_SECONDS",
+    "NO_PRIMARY",
+    "SILENT",
+    "UNSERVABLE",
+    "Attempts",
+    "StatementRunner",
+    "resolved",
+]
+
 # The age of data counts until the server reads it. Allows two round trips
 # between regions (80 ms each) and a late timer.
 AGE_MARGIN_SECONDS = 0.25
-NO_PRIMARY = "no primary"
-UNSERVABLE = "no primary, and no store to find one"
-SILENT = "silent"
-CONNECTION_LOST = "connection lost"
-ANSWER_LOST = "answer lost"
-DEADLINE_EXCEEDED = "out of time"
-ADMISSION_EXPIRED = "waited longer than its admission"
-# Reasons for the failure of an attempt that a server received.
-RECEIVED = frozenset(
-    {
-        SILENT,
-        CONNECTION_LOST,
-        ANSWER_LOST,
-        DEADLINE_EXCEEDED,
-        Problem.FAILED.value,
-        Problem.TIMED_OUT.value,
-    }
-)
-
 
-@attrs.define
-class Attempts:
-    """The attempts to run one statement.
 
-    Attributes:
-      deadline: When the statement must be answered, in seconds on the loop's
-        clock.
-      started_at: When the statement arrived, in seconds on the loop's clock.
-      count: Number of attempts.
-      excluded: Ids of servers on which the statement has failed.
-      failed_on: Id of the server of each attempt at a read that failed, was
-        not answered in time or lost its connection. It counts against the
-        servers once the read is answered, so that a bad statement does not.
-      lagged: Whether the primary lacked the required position.
-      reason: Why the latest attempt failed.
-      wait_limit_exceeded: Whether the primary's queue could not admit the
-        statement in time.
-      server: Id of the server of the latest attempt.
-      needed: The position that a replica needed in the latest attempt.
-      runs: Number of attempts that a server received and did not refuse.
-      admission: Admits the operation within its account's limit; None if it is
-        not limited.
-    """
-
-    deadline: float
-    started_at: float
-    count: int = 0
-    excluded: set[str] = attrs.Factory(set)
-    failed_on: list[str] = attrs.Factory(list)
-    lagged: bool = False
-    reason: str = "no server could be reached"
-    wait_limit_exceeded: bool = False
-    server: str = ""
-    needed: Position | None = None
-    runs: int = 0
-    admission: Admission | None = None
-
-
-class StatementRunner:
-    """Selects servers for statements, sends them and retries safe ones.
-
-    Attributes:
-      directory: Resolves databases.
-      log: Receives the decisions.
-      limits: Limits the operations of client accounts; None if there is none.
-    """
-
-    def __init__(
-        self,
-        directory: Resolver,
-        log: DecisionLog,
-        limits: AccountLimits | None = None,
-    ) -> None:
-        self.directory = directory
-        self.log = log
-        self.limits = limits
-        self.loop = asyncio.get_running_loop()
+class StatementRunner(AttemptResults):
+    """Selects servers for statements, sends them and retries safe ones."""
 
     async def run_single(
         self, session: SessionView, execution: Execution
@@ -158,116 +76,6 @@
         self.log_result(session, execution, attempts, reply)
         return reply
 
-    async def admit(
-        self,
-        session: SessionView,
-        execution: Execution | None,
-        attempts: Attempts,
-    ) -> Reply | None:
-        """Admit an operation of a client account within its limit.
-
-        An operation that has waited too long since it was admitted is admitted
-        again, unless a server has received it.
-
-        Returns:
-          The reply that refuses it, or None.
-        """
-        if not session.account or self.limits is None or attempts.runs:
-            return None
-        if attempts.admission is not None:
-            if self.limits.may_run(attempts.admission):
-                return None
-            self.limits.give_back(attempts.admission)
-        admission = await self.limits.admit(
-            session.account,
-            execution.request_id if execution else "",
-            attempts.deadline - self.loop.time(),
-        )
-        if isinstance(admission, Reply):
-            seconds = self.loop.time() - attempts.started_at
-            self.log.measurements.answered(
-                session.database, Problem.BUSY.value, seconds
-            )
-            return admission
-        attempts.admission = admission
-        return None
-
-    def begin_run(self, attempts: Attempts) -> bool:
-        """Return whether the admission allows sending the statement now."""
-        if attempts.admission is None or self.limits is None or attempts.runs:
-            return True
-        return self.limits.begin_run(attempts.admission)
-
-    def count_run(self, attempts: Attempts, ended: bool) -> None:
-        """Count an attempt that a server received.
-
-        Args:
-          attempts: The attempts including the one that was made.
-          ended: Whether the attempt ended the operation.
-        """
-        admission = attempts.admission
-        received = ended or attempts.reason in RECEIVED
-        attempts.runs += received
-        if admission is None or self.limits is None:
-            return
-        if attempts.runs == 0:
-            self.limits.not_run(admission)
-        elif received and attempts.runs == 1:
-            self.limits.ran(admission)
-        elif received:
-            self.limits.ran_again(admission)
-
-    def end_admission(self, attempts: Attempts) -> None:
-        """Give back the token of an operation that no server received."""
-        if attempts.admission and self.limits and not attempts.runs:
-            self.limits.give_back(attempts.admission)
-
-    def can_retry(self, group: GroupRelay, attempts: Attempts) -> bool:
-        """Return whether another attempt may succeed."""
-        if (
-            attempts.wait_limit_exceeded
-            or self.loop.time() >= attempts.deadline
-        ):
-            return False
-        if attempts.reason == UNSERVABLE:
-            return group.usable_primary() is not None
-        return True
-
-    def log_result(
-        self,
-        session: SessionView,
-        execution: Execution,
-        attempts: Attempts,
-        reply: Reply,
-    ) -> None:
-        """Log and count the result of a statement."""
-        spec, group = resolved(session)
-        seconds = self.loop.time() - attempts.started_at
-        outcome = reply.problem.value if reply.problem else "done"
-        self.log.measurements.answered(session.database, outcome, seconds)
-        clean = reply.problem is None and attempts.count == 1
-        write = self.log.routine if clean else self.log.event
-        write(
-            "statement",
-            request=execution.request_id,
-            database=session.database,
-            writes=execution.writes,
-            server=attempts.server,
-            needed=str(attempts.needed) if attempts.needed else None,
-            attempts=attempts.count,
-            ms=round(seconds * 1000),
-            outcome=outcome,
-            reason="" if clean else attempts.reason,
-            version=group.declared_version,
-        )
-
-    async def pause(self, attempts: Attempts) -> None:
-        """Wait before the next attempt."""
-        remaining = attempts.deadline - self.loop.time()
-        if attempts.count > 1 and remaining > 0:
-            delay = refusal_backoff_seconds(min(attempts.count - 2, 8))
-            await asyncio.sleep(min(delay, remaining))
-
     async def try_write(
         self,
         session: SessionView,
@@ -340,105 +148,6 @@
         self.return_connection(pool, connection, broken)
         return self.accept_read(group, pool, reply, attempts)
 
-    def accept_read(
-        self,
-        group: GroupRelay,
-        pool: ConnectionPool,
-        reply: Reply,
-        attempts: Attempts,
-    ) -> Reply | None:
-        """Return a reply that the caller may receive, or None."""
-        if reply.problem is None:
-            pool.condition.caught_up()
-            group.record_read_answered(
-                pool.server.server_id, attempts.failed_on
-            )
-            if pool is not group.primary_pool():
-                group.switchover_trigger.replica_answered(self.loop.time())
-            return reply
-        if reply.problem in NOT_RUN:
-            self.record_refusal(group, pool, reply, attempts)
-            return None
-        if reply.problem in (Problem.FAILED, Problem.TIMED_OUT):
-            attempts.excluded.add(pool.server.server_id)
-            attempts.failed_on.append(pool.server.server_id)
-            attempts.reason = reply.problem.value
-            return None
-        return reply
-
-    async def read_reply(
-        self,
-        group: GroupRelay,
-        pool: ConnectionPool,
-        connection: ServerConnection,
-        future: asyncio.Future[Reply],
-        attempts: Attempts,
-    ) -> Reply | None:
-        """Wait for the reply to a read; return None if overdue or lost."""
-        start = self.loop.time()
-        limit = self.attempt_seconds(pool, attempts, start)
-        reply = await await_result(
-            future, min(attempts.deadline, start + limit)
-        )
-        now = self.loop.time()
-        if reply is None:
-            self.record_no_answer(
-                group, pool, connection, attempts, start, limit
-            )
-            return None
-        if reply.problem is None:
-            pool.condition.answered(now - start, now)
-        if pool is group.primary_pool():
-            group.suspicion.answered()
-        return reply
-
-    def record_no_answer(
-        self,
-        group: GroupRelay,
-        pool: ConnectionPool,
-        connection: ServerConnection,
-        attempts: Attempts,
-        start: float,
-        limit: float,
-    ) -> None:
-        """Record that a statement was not answered.
-
-        Args:
-          group: The statement's group.
-          pool: The connection pool of the server.
-          connection: The connection on which the statement was sent.
-          attempts: The statement's attempts.
-          start: When it was sent, in seconds on the loop's clock.
-          limit: Time limit of the attempt in seconds; the wait is shorter if
-            the statement's deadline comes first.
-        """
-        now = self.loop.time()
-        if not connection.closed and now - start < limit:
-            # Neither the statement's deadline nor a lost reply is evidence
-            # against the server.
-            late = now >= attempts.deadline
-            attempts.reason = DEADLINE_EXCEEDED if late else ANSWER_LOST
-            return
-        attempts.reason = CONNECTION_LOST if connection.closed else SILENT
-        attempts.excluded.add(pool.server.server_id)
-        attempts.failed_on.append(pool.server.server_id)
-        pool.condition.failed(now)
-        if not connection.closed:
-            pool.condition.timed_out(now - start)
-        group.record_unanswered(pool, not connection.closed, start)
-
-    def attempt_seconds(
-        self, pool: ConnectionPool, attempts: Attempts, now: float
-    ) -> float:
-        """Return the time limit for the reply of one attempt, in seconds."""
-        expected = pool.condition.expected_seconds(now, MIN_ATTEMPT_SECONDS)
-        max_seconds = (
-            attempts.deadline - attempts.started_at
-        ) * MAX_ATTEMPT_SHARE
-        return min(
-            max_seconds, max(MIN_ATTEMPT_SECONDS, expected * LATE_ANSWER_FACTOR)
-        )
-
     async def needed_position(
         self, session: SessionView, attempts: Attempts
     ) -> Position | None:
@@ -501,29 +210,6 @@
             group.watermarks.add(sent_at, reply.position)
         return self.accept_read(group, pool, reply, attempts)
 
-    def record_refusal(
-        self,
-        group: GroupRelay,
-        pool: ConnectionPool,
-        reply: Reply,
-        attempts: Attempts,
-    ) -> None:
-        """Record a reply which says that the statement did not run."""
-        problem = typing.cast(Problem, reply.problem)
-        attempts.reason = problem.value
-        now = self.loop.time()
-        if problem is Problem.NOT_PRIMARY:
-            group.mark_not_primary(pool)
-        elif problem is Problem.LACKS_POSITION:
-            pool.condition.lagged(now)
-            if pool is group.primary_pool():
-                attempts.lagged = True
-            else:
-                attempts.excluded.add(pool.server.server_id)
-        elif problem is Problem.BUSY:
-            pool.limiter.refused()
-            pool.condition.failed(now)
-
     async def begin(
         self, session: SessionView, execution: Execution | None
     ) -> OpenTransaction | Reply:
@@ -578,13 +264,15 @@
             )
         on_primary = pool is None
         if pool is None:
-            acquired = await self.acquire_primary_connection(session, attempts)
+            acquired = await self.acquire_primary_connection(
+                session, attempts, transaction=True
+            )
             if acquired is None:
                 return None
             pool, connection = acquired
         else:
             read_connection = await self.acquire_connection(
-                pool, session, attempts
+                pool, session, attempts, transaction=True
             )
             if read_connection is None:
                 return None
@@ -617,79 +305,3 @@
         return OpenTransaction(
             group, pool, connection, on_primary, spec.statement_timeout_seconds
         )
-
-    async def acquire_primary_connection(
-        self, session: SessionView, attempts: Attempts
-    ) -> tuple[ConnectionPool, ServerConnection] | None:
-        """Return a connection to the primary, or None."""
-        _, group = resolved(session)
-        pool = await group.wait_for_primary(attempts.deadline)
-        if pool is None:
-            lost = group.store_health.lost
-            attempts.reason = UNSERVABLE if lost else NO_PRIMARY
-            return None
-        connection = await self.acquire_connection(pool, session, attempts)
-        return (pool, connection) if connection else None
-
-    async def acquire_connection(
-        self, pool: ConnectionPool, session: SessionView, attempts: Attempts
-    ) -> ServerConnection | None:
-        """Return a connection of a pool, or None if there is none in time."""
-        spec, group = resolved(session)
-        attempts.server = pool.server.server_id
-        granted = await pool.acquire(
-            session.context,
-            self.wait_limits(spec, pool, attempts),
-            session.account,
-        )
-        if isinstance(granted, WaitLimitExceeded):
-            attempts.reason = OpenFailure.FULL.value
-            attempts.wait_limit_exceeded = pool is group.primary_pool()
-            attempts.excluded.add(pool.server.server_id)
-            return None
-        if isinstance(granted, NotOpened):
-            attempts.reason = granted.failure.value
-            if granted.failure is not OpenFailure.FULL:
-                attempts.excluded.add(pool.server.server_id)
-                group.record_unreachable(pool, granted.failure)
-            return None
-        if not self.begin_run(attempts):
-            self.return_connection(pool, granted, broken=False)
-            attempts.reason = ADMISSION_EXPIRED
-            return None
-        return granted
-
-    def wait_limits(
-        self, spec: DatabaseSpec, pool: ConnectionPool, attempts: Attempts
-    ) -> WaitLimits:
-        """Return how long a statement may wait for a connection of a pool."""
-        now = self.loop.time()
-        seconds = attempts.deadline - attempts.started_at
-        expected = pool.condition.expected_seconds(now, MIN_ATTEMPT_SECONDS)
-        needed = max(MIN_ATTEMPT_SECONDS, SEND_FACTOR * expected)
-        latest = attempts.deadline - min(seconds * MAX_ATTEMPT_SHARE, needed)
-        early = attempts.started_at + seconds * OVERLOAD_WAIT_SHARE
-        return WaitLimits(spec.priority, latest, min(latest, early))
-
-    def return_connection(
-        self, pool: ConnectionPool, connection: ServerConnection, broken: bool
-    ) -> None:
-        """Return a connection to its pool after a statement, or close it."""
-        if broken:
-            pool.discard(connection)
-        else:
-            pool.release(connection)
-
-
-def resolved(session: SessionView) -> tuple[DatabaseSpec, GroupRelay]:
-    """Return a session's resolved database and group.
-
-    Args:
-      session: The session.
-
-    Raises:
-      RuntimeError: The session's database has not been resolved.
-    """
-    if session.spec is None or session.group is None:
-        raise RuntimeError("the session's database is not resolved")
-    return session.spec, session.group
