--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/fair_wait_queue.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/fair_wait_queue.py
@@ -1,9 +1,8 @@
-"""A queue ordered by priority, then fairly by account, then by objective."""
+"""A queue ordered by priority, then fairly by account, then by arrival."""
 
-import bisect
+import collections
 import heapq
 import itertools
-import math
 import typing
 from collections.abc import Callable, Iterator
 
@@ -22,8 +21,6 @@
       account: The client account; empty for none.
       number: Arrival number, which orders the entries of an account.
       item: The waiting item.
-      in_time_until: Latest time to serve it so that the answer is in time, in
-        seconds on the same clock; infinite if there is no objective.
       removed: Whether the entry has been cancelled, served or cleared.
     """
 
@@ -32,15 +29,9 @@
     account: str
     number: int
     item: T
-    in_time_until: float = math.inf
     removed: bool = False
 
 
-def order_key(entry: FairWaitEntry[T]) -> tuple[float, int]:
-    """Return what orders the entries of an account that can be in time."""
-    return (entry.in_time_until, entry.number)
-
-
 @attrs.define(eq=False)
 class AccountEntries(typing.Generic[T]):
     """The entries of one account in one priority.
@@ -48,46 +39,14 @@
     Attributes:
       turn: The virtual time at which its first entry is due.
       order: Orders accounts that are due at the same virtual time.
-      entries: The waiting entries, sorted by `order_key`.
+      entries: The waiting entries by arrival number, the oldest first.
     """
 
     turn: int
     order: int
-    entries: list[FairWaitEntry[T]] = attrs.Factory(list)
-
-    def add(self, entry: FairWaitEntry[T]) -> None:
-        """Add an entry."""
-        bisect.insort(self.entries, entry, key=order_key)
-
-    def remove(self, entry: FairWaitEntry[T]) -> None:
-        """Remove an entry that waits."""
-        del self.entries[
-            bisect.bisect_left(self.entries, order_key(entry), key=order_key)
-        ]
-
-    def late_count(self, now: float) -> int:
-        """Return how many entries can only be answered late."""
-        return bisect.bisect_left(
-            self.entries, now, key=lambda one: one.in_time_until
-        )
-
-    def in_order(self, now: float) -> Iterator[FairWaitEntry[T]]:
-        """Yield the entries in the order of service."""
-        late = self.late_count(now)
-        for index in range(late, len(self.entries)):
-            yield self.entries[index]
-        for index in range(late):
-            yield self.entries[index]
-
-    def ahead_of(self, in_time_until: float, now: float) -> int:
-        """Return how many entries would be served before a new one."""
-        late = self.late_count(now)
-        before = bisect.bisect_right(
-            self.entries, in_time_until, key=lambda one: one.in_time_until
-        )
-        if in_time_until >= now:
-            return before - late
-        return len(self.entries) - late + before
+    entries: collections.OrderedDict[int, FairWaitEntry[T]] = attrs.Factory(
+        collections.OrderedDict
+    )
 
 
 @attrs.define(eq=False)
@@ -130,13 +89,8 @@
     """Statements that wait for a connection or a send slot of one server.
 
     Entries of higher priority are served first. Within a priority, accounts
-    take turns. Of an account's entries, the one with the earliest objective is
-    served first if it can still be answered in time; those that can only be
-    answered late come last. Addresses bursts of an account: in order of arrival,
-    all of its statements are late once its queue is longer than the objective.
-    Entries without an objective are served in order of arrival. With one
-    account or none and without objectives, the order is that of
-    `PriorityWaitQueue`.
+    take turns, and the entries of an account are served in order of arrival.
+    With one account or none, the order is that of `PriorityWaitQueue`.
 
     Starvation bound: between two entries of an account that waits, and before
     its first one, `pop` serves at most one entry of each other account of the
@@ -157,50 +111,34 @@
     length: int = 0
 
     def enqueue(
-        self,
-        priority: int,
-        deadline: float,
-        item: T,
-        account: str = "",
-        in_time_until: float = math.inf,
+        self, priority: int, deadline: float, item: T, account: str = ""
     ) -> FairWaitEntry[T]:
-        """Add an item to those of its priority and account.
+        """Add an item behind all others of its priority and account.
 
         Args:
           priority: Lower values are served first.
           deadline: When the entry expires, in seconds on a monotonic clock.
           item: The waiting item.
           account: The client account; empty for none.
-          in_time_until: Latest time to serve it so that the answer is in time,
-            in seconds on the same clock.
         """
         entry = FairWaitEntry(
-            priority, deadline, account, next(self.numbers), item, in_time_until
+            priority, deadline, account, next(self.numbers), item
         )
         level = self.levels.setdefault(priority, PriorityLevel())
         waiting = level.accounts.get(account)
         if waiting is None:
             waiting = AccountEntries(level.virtual_time, entry.number)
             level.accounts[account] = waiting
-        waiting.add(entry)
+        waiting.entries[entry.number] = entry
         self.length += 1
         return entry
 
-    def ahead_of(
-        self,
-        priority: int,
-        account: str = "",
-        in_time_until: float = math.inf,
-        now: float = -math.inf,
-    ) -> int:
+    def ahead_of(self, priority: int, account: str = "") -> int:
         """Return how many entries would be served before a new one.
 
         Args:
           priority: The priority of the new entry.
           account: The client account of the new entry.
-          in_time_until: Latest time to serve the new entry so that its answer
-            is in time, in seconds.
-          now: The current time in seconds.
         """
         ahead = sum(
             level.waiting_count()
@@ -213,7 +151,7 @@
         own = level.accounts.get(account) or AccountEntries(
             level.virtual_time, next(self.numbers)
         )
-        own_count = own.ahead_of(in_time_until, now)
+        own_count = len(own.entries)
         for one in level.accounts.values():
             if one is own:
                 continue
@@ -253,7 +191,7 @@
         for number, level in self.levels.items():
             if number <= priority:
                 for one in level.accounts.values():
-                    yield from one.entries
+                    yield from one.entries.values()
 
     def in_order(self, now: float) -> Iterator[FairWaitEntry[T]]:
         """Yield the entries that have not expired in the order of service.
@@ -266,7 +204,7 @@
         for priority in sorted(self.levels):
             orders = itertools.count()
             turns = [
-                (one.turn, 0, one.order, one.in_order(now))
+                (one.turn, 0, one.order, iter(one.entries.values()))
                 for one in self.levels[priority].accounts.values()
                 if one.entries
             ]
@@ -290,7 +228,7 @@
             first = self.levels[min(self.levels)].first_account()
             if first is None:
                 raise RuntimeError("a priority without entries was kept")
-            entry = next(first.in_order(now))
+            entry = next(iter(first.entries.values()))
             if entry.deadline > now:
                 return entry
             self.cancel(entry)
@@ -311,7 +249,7 @@
         """
         for priority in sorted(self.levels):
             own = self.levels[priority].accounts.get(account)
-            for entry in own.in_order(now) if own else ():
+            for entry in own.entries.values() if own else ():
                 if entry.deadline > now and may_serve(entry.item):
                     return entry
         return None
@@ -352,7 +290,7 @@
         entry.removed = True
         self.length -= 1
         level = self.levels[entry.priority]
-        level.accounts[entry.account].remove(entry)
+        del level.accounts[entry.account].entries[entry.number]
         if level.waiting_count():
             level.forget_idle()
         else:
@@ -364,7 +302,7 @@
             entry
             for level in self.levels.values()
             for one in level.accounts.values()
-            for entry in one.entries
+            for entry in one.entries.values()
         ]
         for entry in entries:
             entry.removed = True
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/overload_detector.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/overload_detector.py
@@ -8,8 +8,6 @@
 refused, which leaves their callers time to retry.
 """
 
-import math
-
 import attrs
 
 # The users' bursts drain within about the target time of an operation (0.4 to
@@ -30,14 +28,11 @@
         clock.
       overload_deadline: Latest time to send it if the queue is overloaded, on
         the same clock.
-      objective: Latest time of an answer that is in time, on the same clock;
-        infinite if none is declared.
     """
 
     priority: int
     deadline: float
     overload_deadline: float
-    objective: float = math.inf
 
 
 @attrs.define
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/connection_pool.py
@@ -42,9 +42,7 @@
     ) -> OpenResult | WaitLimitExceeded:
         """Return a connection on which a statement may be sent.
 
-        Waits for a connection if all are in use, and then for the limiter. The
-        wait limit of a request of a client account is judged once for both
-        waits.
+        Waits for a connection if all are in use, and then for the limiter.
 
         Args:
           context: The session's settings and prepared statements. The idle
@@ -58,25 +56,14 @@
           The connection, why none could be opened, or that the wait limit was
           exceeded.
         """
-        deadline = None
-        if self.judges_once(account):
-            deadline = self.limiter.overload_detector.wait_deadline(
-                self.loop.time(),
-                self.queue.length + self.limiter.queue.length,
-                limits,
-            )
-        granted = await self.connect(
-            context, limits, account, deadline, transaction
-        )
+        granted = await self.connect(context, limits, account, transaction)
         if isinstance(granted, (NotOpened, WaitLimitExceeded)):
             return granted
         # The connection is acquired before the limiter, since a statement that
         # the limiter has admitted must not wait for a connection: transactions
         # keep their connections while their statements wait for the limiter.
         try:
-            result = await self.limiter.enter(
-                limits, account, deadline, granted
-            )
+            result = await self.limiter.enter(limits, account, granted)
         except asyncio.CancelledError:
             self.release(granted)
             raise
@@ -91,20 +78,11 @@
         self.release(granted)
         return WaitLimitExceeded()
 
-    def judges_once(self, account: str) -> bool:
-        """Return whether both waits of a request have one wait limit.
-
-        Without client accounts, a connection is opened only if the limiter has
-        room, so that statements hardly wait twice.
-        """
-        return bool(account)
-
     async def connect(
         self,
         context: SessionContext,
         limits: WaitLimits,
         account: str,
-        deadline: float | None,
         transaction: bool,
     ) -> OpenResult | WaitLimitExceeded:
         """Return an idle or new connection, or wait for one.
@@ -113,16 +91,12 @@
           context: The session's settings and prepared statements.
           limits: Priority and wait limits of the statement.
           account: The client account of the statement; empty for none.
-          deadline: End of the wait for the connection and the limiter, in
-            seconds on the loop's clock; None if each has its own.
           transaction: Whether a transaction will hold the connection.
         """
         now = self.loop.time()
-        judged = deadline is not None
-        if deadline is None:
-            deadline = self.overload_detector.wait_deadline(
-                now, self.queue.length, limits
-            )
+        deadline = self.overload_detector.wait_deadline(
+            now, self.queue.length, limits
+        )
         granted: asyncio.Future[OpenResult] = self.loop.create_future()
         request = ConnectionRequest(
             account, limits.priority, now, granted, transaction
@@ -133,20 +107,11 @@
                 if transaction:
                     self.transactions.add(connection)
                 return self.check_out(connection)
-        in_time_until = self.limiter.in_time_until(limits)
-        ahead = self.queue.ahead_of(
-            limits.priority, account, in_time_until, now
-        )
-        wait = 0.0
-        if self.count >= self.limit:
-            wait = self.wait_estimator.wait_seconds(ahead, self.limit)
-        if judged:
-            wait += self.limiter.expected_wait(limits, account)
-        if wait and now + wait >= deadline:
+        ahead = self.queue.ahead_of(limits.priority, account)
+        wait = self.wait_estimator.wait_seconds(ahead, self.limit)
+        if self.count >= self.limit and now + wait >= deadline:
             return WaitLimitExceeded()
-        waiter = self.queue.enqueue(
-            limits.priority, deadline, request, account, in_time_until
-        )
+        waiter = self.queue.enqueue(limits.priority, deadline, request, account)
         self.waiting_transactions += transaction
         self.open_more()
         try:
@@ -186,10 +151,7 @@
         limits = WaitLimits(TRANSACTION_PRIORITY, deadline, deadline)
         used_since = self.in_use.get(connection)
         result = await self.limiter.enter(
-            limits,
-            account or connection.account,
-            deadline if self.judges_once(connection.account) else None,
-            connection,
+            limits, account or connection.account, connection
         )
         if result is not LimiterResult.GRANTED:
             return False
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -179,7 +179,8 @@
                 self.group.suspicion.answered()
 
     def not_admitted(self, request_id: str, start: float) -> Reply:
-        """Roll back because a statement was not admitted in time."""
+        """Roll back because a statement was not sent."""
+        lost = self.connection.closed
         self.roll_back()
         self.group.log.event(
             "transaction_statement",
@@ -191,7 +192,9 @@
         )
         return Reply(
             problem=Problem.ROLLED_BACK,
-            detail="the server is full; the transaction is rolled back",
+            detail="the connection was lost; the transaction is rolled back"
+            if lost
+            else "the server is full; the transaction is rolled back",
         )
 
     def statement_unanswered(self, request_id: str, start: float) -> Reply:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_limiter.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/statement_limiter.py
@@ -65,7 +65,6 @@
         self,
         limits: WaitLimits,
         account: str = "",
-        deadline: float | None = None,
         connection: ServerConnection | None = None,
     ) -> LimiterResult:
         """Wait until a statement may be sent.
@@ -74,31 +73,26 @@
           limits: Priority and wait limits of the statement, in seconds on the
             loop's clock.
           account: The client account of the statement; empty for none.
-          deadline: End of the wait, in seconds on the loop's clock; None to
-            judge it now.
           connection: The statement's connection; the wait ends if it is lost.
         """
         now = self.loop.time()
-        if deadline is None:
-            deadline = self.overload_detector.wait_deadline(
-                now, self.queue.length, limits
-            )
+        deadline = self.overload_detector.wait_deadline(
+            now, self.queue.length, limits
+        )
         if self.has_room():
             self.in_flight_count += 1
             return LimiterResult.GRANTED
-        wait = self.expected_wait(limits, account)
+        ahead = self.queue.ahead_of(limits.priority, account)
+        wait = self.wait_estimator.wait_seconds(ahead, int(self.window.size))
         if now + wait >= deadline:
             return LimiterResult.WAIT_LIMIT_EXCEEDED
         admitted: asyncio.Future[LimiterResult] = self.loop.create_future()
         waiter = self.queue.enqueue(
-            limits.priority,
-            deadline,
-            admitted,
-            account,
-            self.in_time_until(limits),
+            limits.priority, deadline, admitted, account
         )
+        lost = functools.partial(end_wait, admitted)
         if connection is not None:
-            connection.on_closed = functools.partial(end_wait, admitted)
+            connection.on_closed = lost
         try:
             async with asyncio.timeout_at(deadline):
                 return await admitted
@@ -115,32 +109,13 @@
                 self.admit_waiting()
             raise
         finally:
-            if connection is not None:
+            # It may be idle by now, after its transaction was rolled back.
+            if connection is not None and connection.on_closed is lost:
                 connection.on_closed = None
             self.queue.cancel(waiter)
             self.on_wait(wait, self.loop.time() - now)
         return admitted.result()
 
-    def expected_wait(self, limits: WaitLimits, account: str) -> float:
-        """Return the expected wait of a new statement, in seconds."""
-        if self.has_room():
-            return 0.0
-        ahead = self.queue.ahead_of(
-            limits.priority,
-            account,
-            self.in_time_until(limits),
-            self.loop.time(),
-        )
-        return self.wait_estimator.wait_seconds(ahead, int(self.window.size))
-
-    def in_time_until(self, limits: WaitLimits) -> float:
-        """Return until when a statement must be sent to be in time.
-
-        Args:
-          limits: The limits of the statement.
-        """
-        return limits.objective - self.wait_estimator.hold_seconds
-
     def has_room(self) -> bool:
         """Return whether a statement would be admitted immediately."""
         return (
