--- a/packages/jackdawcrank-proxy/tests/relay/test_server_queue.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_server_queue.py
@@ -59,6 +59,18 @@
     assert statistics.mean(gains) >= least
 
 
+def test_limit_of_transactions_helps_where_the_server_is_full() -> None:
+    # Fails if connections are left free that no other account can get.
+    load = Load(
+        hot={"a1": 4.0}, holding=frozenset({"a1"}), pause=0.2, accepts=10
+    )
+    former, now = (
+        sum(play(ConnectionPool, load, seed, limited).worth for seed in SEEDS)
+        for limited in (False, True)
+    )
+    assert now >= 1.1 * former
+
+
 def test_callers_without_accounts_are_served_as_before() -> None:
     # Fails if either decision changes service where no accounts are declared.
     load = home(accounts={"": 1.0}, kinds=(1, 2.6, 1), accepts=8, pause=0.2)
