--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/request_dispatch.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/request_dispatch.py
@@ -56,7 +56,8 @@
         request = waiting_request(waiter, now)
         if self.serve_own(request, can_open, shares, now):
             return False
-        if self.close_for_full and may_evict(request, holds_share):
+        refused = self.close_for_full and now < self.full_until
+        if refused and may_evict(request, holds_share):
             self.close_idle_for_full(now)
         if not can_open or not may_evict(request, holds_share):
             self.serve_after_reuse(request)
@@ -66,8 +67,8 @@
     def close_idle_for_full(self, now: float) -> None:
         """Close an idle connection, since the server refused a new one as full.
 
-        No request of its account waits, and the next request is of another
-        account.
+        No request of its account may be served now, and the next request is of
+        another account.
 
         Args:
           now: The current time, in seconds on the loop's clock.
