--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/fair_wait_queue.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/waiting/fair_wait_queue.py
@@ -4,7 +4,7 @@
 import heapq
 import itertools
 import typing
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -180,6 +180,19 @@
             if one.entries
         }
 
+    def entries(self, priority: int) -> Iterator[FairWaitEntry[T]]:
+        """Yield the entries of a priority and those of higher ones, unordered.
+
+        The queue must not be changed until the last entry has been taken.
+
+        Args:
+          priority: The priority.
+        """
+        for number, level in self.levels.items():
+            if number <= priority:
+                for one in level.accounts.values():
+                    yield from one.entries.values()
+
     def in_order(self, now: float) -> Iterator[FairWaitEntry[T]]:
         """Yield the entries that have not expired in the order of service.
 
@@ -221,17 +234,23 @@
             self.cancel(entry)
         return None
 
-    def head_of(self, account: str, now: float) -> FairWaitEntry[T] | None:
+    def head_of(
+        self,
+        account: str,
+        now: float,
+        may_serve: Callable[[T], bool] = lambda _item: True,
+    ) -> FairWaitEntry[T] | None:
         """Return an account's entry that is served next, or None.
 
         Args:
           account: The client account.
           now: The current time in seconds.
+          may_serve: Whether an item may be served now.
         """
         for priority in sorted(self.levels):
             own = self.levels[priority].accounts.get(account)
             for entry in own.entries.values() if own else ():
-                if entry.deadline > now:
+                if entry.deadline > now and may_serve(entry.item):
                     return entry
         return None
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/open_transaction.py
@@ -194,7 +194,8 @@
     def not_admitted(
         self, session: SessionView, request_id: str, start: float
     ) -> Reply:
-        """Roll back because a statement was not admitted in time."""
+        """Roll back because a statement was not sent."""
+        lost = self.connection.closed
         self.roll_back()
         self.group.log.event(
             "transaction_statement",
@@ -208,7 +209,9 @@
         )
         return Reply(
             problem=Problem.ROLLED_BACK,
-            detail="the server is full; the transaction is rolled back",
+            detail="the connection was lost; the transaction is rolled back"
+            if lost
+            else "the server is full; the transaction is rolled back",
         )
 
     def statement_unanswered(
