--- a/conftest.py
+++ b/conftest.py
@@ -14,6 +14,12 @@
     "packages/jackdawcrank-proxy/tests/system/test_failures.py",
     "soak/tests/test_soak.py",
     "packages/jackdawcrank-proxy/tests/relay/test_account_limits.py",
+    "packages/jackdawcrank-proxy/tests/relay/test_connections_by_account.py",
+    "packages/jackdawcrank-proxy/tests/execution/test_write_path.py",
+    "packages/jackdawcrank-proxy/tests/system/test_processes.py",
+    "platform/tests/test_homes.py",
+    "platform/tests/test_whole_path.py",
+    "bench/tests/test_write_histories.py",
 )
 KNOWN_RED = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 
--- a/packages/jackdawcrank-wire/tests/framing/test_frame_writer.py
+++ b/packages/jackdawcrank-wire/tests/framing/test_frame_writer.py
@@ -36,6 +36,7 @@
     assert not writer.write(b"late")
 
 
+@pytest.mark.serial
 async def test_drain_waits_while_the_peer_does_not_read(
     frame_pair: FramePair,
 ) -> None:
