--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,8 +14,9 @@
 HEARTBEAT_SECONDS = 1.2
 OUTAGE_SECONDS = 4.5
 # When entries are back after the store's return; within about two seconds.
-FIRST_BACK_SECONDS = 0.2
+FIRST_BACK_SECONDS = 0.0
 LAST_BACK_SECONDS = 1.9
+RESTART_SECONDS = 0.5
 
 
 async def case(deployment: Deployment) -> bool:
@@ -65,11 +66,12 @@
     deployment.send_signal(first, signal.SIGKILL)
     assert first.process
     await first.process.wait()
-    await asyncio.sleep(3 * HEARTBEAT_SECONDS - 2.0)
-    for server in servers:
-        server.expire()
+    await asyncio.sleep(RESTART_SECONDS)
     await deployment.start_process(first)
     record.add("the killed process is started again")
+    await asyncio.sleep(3 * HEARTBEAT_SECONDS - 2.0 - RESTART_SECONDS)
+    for server in servers:
+        server.expire()
     await asyncio.sleep(OUTAGE_SECONDS - 3 * HEARTBEAT_SECONDS)
     deployment.store.set_down(False)
     record.add("the store is back")
