--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
@@ -12,6 +12,10 @@
     claim_key,
     next_claim,
 )
+from jackdawcrank_policy.succession.listing_completeness import (
+    ENTRY_RETURN_SECONDS,
+    ListingCompleteness,
+)
 from jackdawcrank_policy.succession.primary_suspicion import (
     FailureKind,
     PrimarySuspicion,
@@ -23,10 +27,12 @@
 
 __all__ = [
     "CLAIM_TTL_SECONDS",
+    "ENTRY_RETURN_SECONDS",
     "MIN_LAG_SECONDS",
     "Claim",
     "FailureKind",
     "FrozenServer",
+    "ListingCompleteness",
     "NoSuccessor",
     "PrimarySuspicion",
     "Successor",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -367,6 +367,11 @@
             "token": "the claim's number",
         },
     ),
+    EventSpec(
+        "servers_unknown",
+        "a replacement ends since running servers may be missing from the list",
+        GROUP,
+    ),
     EventSpec(
         "promotion_ordered",
         "the platform answered an order, or did not",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
@@ -20,10 +20,7 @@
     Declarations,
     ListedServer,
 )
-
-# Reports that expired during an outage of the store, or were lost when it was
-# restored, are back within 2 s of its recovery; 0.5 s more allows for delivery.
-REMOVAL_DELAY_SECONDS = 2.5
+from jackdawcrank_policy.succession import ENTRY_RETURN_SECONDS
 
 
 class Directory:
@@ -195,7 +192,7 @@
         if pending:
             pending.cancel()
         self.restored_reports[row.key] = self.loop.call_later(
-            REMOVAL_DELAY_SECONDS, self.apply_restored_report, row
+            ENTRY_RETURN_SECONDS, self.apply_restored_report, row
         )
 
     def apply_restored_report(self, row: StoredRow) -> None:
@@ -243,7 +240,7 @@
         """
         if key in self.servers and key not in self.removal_timers:
             self.removal_timers[key] = self.loop.call_later(
-                REMOVAL_DELAY_SECONDS, self.remove_server, key
+                ENTRY_RETURN_SECONDS, self.remove_server, key
             )
 
     def remove_server(self, key: str) -> None:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -3,11 +3,12 @@
 import asyncio
 import enum
 import random
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.claim_rows import ClaimRows, HeldClaim
+from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.connection_pool import ConnectionPool
 from jackdawcrank.relay.control_commands import StatusResult
 from jackdawcrank.relay.group_relay import GroupRelay
@@ -80,6 +81,8 @@
       group: The group.
       vm: This proxy's VM.
       process: The unique name of this proxy process.
+      refresh_servers: Reads the table of servers; returns whether the store
+        answered.
       running: Whether a replacement or a probe is in progress.
       primary_missing_since: When the group lost its primary, in seconds on the
         event loop's clock; None while it has one.
@@ -95,6 +98,7 @@
         process: str,
         claims: ClaimRows,
         promotion_service: PromotionService,
+        refresh_servers: Callable[[], Awaitable[bool]],
         log: DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -104,6 +108,7 @@
         self.process = process
         self.claims = claims
         self.promotion_service = promotion_service
+        self.refresh_servers = refresh_servers
         self.log = log
         self.rng = rng
         self.running = False
@@ -192,6 +197,9 @@
             return
         if reason == MISSING and await self.find_primary():
             return
+        if reason not in PLANNED and not self.listing_complete():
+            self.not_before = self.loop.time() + PRIMARY_POLL_SECONDS
+            return
         old_primary = self.group.primary_pool()
         old_id = old_primary.server.server_id if old_primary else ""
         if (
@@ -243,6 +251,13 @@
         if result is ReplacementResult.DONE or no_pending_order:
             await self.claims.settle(self.group.name, held_claim)
 
+    def listing_complete(self) -> bool:
+        """Return whether a server that the store does not list is gone.
+
+        Before, an unlisted server may lead, or hold a commit alone.
+        """
+        return self.group.store_health.listing.complete(boot_seconds())
+
     async def any_replica_caught_up(self) -> bool:
         """Return whether a replica has received all entries of the primary."""
         return bool(await self.caught_up_replicas())
@@ -297,6 +312,12 @@
           old_primary: The failed primary, or None.
         """
         claim = held_claim.claim
+        # Changes arrive late over other VMs, so the list is read once more
+        # under the claim.
+        refreshed = await self.refresh_servers()
+        if not refreshed or not self.listing_complete():
+            self.log.event("servers_unknown", group=self.group.name)
+            return ReplacementResult.NOTHING_DONE
         replicas = self.replicas(old_primary)
         if await self.adopt_primary(replicas):
             return ReplacementResult.NOTHING_DONE
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -218,6 +218,7 @@
             process,
             ClaimRows(self.store, self.store_health, log),
             promotion_service,
+            self.followers[declaration_decoder.servers_table].refresh,
             log,
             rng,
         )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/store_health.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/store_health.py
@@ -6,6 +6,7 @@
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.await_event import await_event
 from jackdawcrank.relay.clocks import boot_seconds
+from jackdawcrank_policy.succession import ListingCompleteness
 
 
 class StoreHealth:
@@ -24,6 +25,7 @@
       epoch: The store's epoch; None before its first answer.
       epoch_seen_at: When an answer of this epoch was first received, in
         seconds since boot.
+      listing: Whether every running server has an entry in the store.
     """
 
     def __init__(self, log: DecisionLog) -> None:
@@ -37,6 +39,7 @@
         self.on_regained: Callable[[float], None] = lambda _seconds: None
         self.epoch: int | None = None
         self.epoch_seen_at = 0.0
+        self.listing = ListingCompleteness()
 
     def record_epoch(self, epoch: int) -> None:
         """Record the epoch of an answer.
@@ -61,6 +64,7 @@
         self.lost = False
         self.probed = False
         self.failures = 0
+        self.listing.store_answered(boot_seconds())
         if was_lost:
             self.log.event("store_regained", failures=failures)
             self.regained.set()
@@ -104,3 +108,4 @@
             self.lost_at = boot_seconds()
         self.lost = True
         self.failures += 1
+        self.listing.store_lost()
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/succession_service.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/succession_service.py
@@ -1,6 +1,7 @@
 """Succession of the primaries of all groups."""
 
 import random
+from collections.abc import Awaitable, Callable
 
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.claim_rows import ClaimRows
@@ -19,6 +20,8 @@
 
     Attributes:
       directory: Holds the groups.
+      refresh_servers: Reads the table of servers; returns whether the store
+        answered.
       successions: The succession of each group by the group's name.
     """
 
@@ -29,6 +32,7 @@
         process: str,
         claims: ClaimRows,
         promotion_service: PromotionService,
+        refresh_servers: Callable[[], Awaitable[bool]],
         log: DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -37,6 +41,7 @@
         self.process = process
         self.claims = claims
         self.promotion_service = promotion_service
+        self.refresh_servers = refresh_servers
         self.log = log
         self.rng = rng
         self.successions: dict[str, GroupSuccession] = {}
@@ -76,6 +81,7 @@
                     self.process,
                     self.claims,
                     self.promotion_service,
+                    self.refresh_servers,
                     self.log,
                     self.rng,
                 )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/table_follower.py
@@ -395,6 +395,18 @@
         self.apply_image(image)
         self.prove(image.store_seconds, image.epoch)
 
+    async def refresh(self) -> bool:
+        """Read the table now, beside the calls that follow it.
+
+        Returns:
+          Whether the store answered.
+        """
+        image = await self.store.read_table(self.table)
+        if isinstance(image, StoreFailure):
+            return False
+        self.apply_image(image)
+        return True
+
     def begin_call(self, wait_seconds: float) -> float:
         """Return the time at which a call of the store is sent.
 
