--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
@@ -12,6 +12,12 @@
     claim_key,
     next_claim,
 )
+from jackdawcrank_policy.succession.election import (
+    CompareReplicas,
+    Election,
+    ElectionStep,
+    OrderPromotion,
+)
 from jackdawcrank_policy.succession.listing_completeness import (
     ENTRY_RETURN_SECONDS,
     ListingCompleteness,
@@ -20,6 +26,11 @@
     FailureKind,
     PrimarySuspicion,
 )
+from jackdawcrank_policy.succession.replacement_way import (
+    PrimaryContact,
+    ReplacementWay,
+    replacement_way,
+)
 from jackdawcrank_policy.succession.switchover_trigger import (
     MIN_LAG_SECONDS,
     SwitchoverTrigger,
@@ -30,14 +41,21 @@
     "ENTRY_RETURN_SECONDS",
     "MIN_LAG_SECONDS",
     "Claim",
+    "CompareReplicas",
+    "Election",
+    "ElectionStep",
     "FailureKind",
     "FrozenServer",
     "ListingCompleteness",
     "NoSuccessor",
+    "OrderPromotion",
+    "PrimaryContact",
     "PrimarySuspicion",
+    "ReplacementWay",
     "Successor",
     "SwitchoverTrigger",
     "claim_key",
     "choose_successor",
     "next_claim",
+    "replacement_way",
 ]
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/claim.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/claim.py
@@ -53,6 +53,10 @@
 ) -> Claim | None:
     """Return the claim to write, or None while another claim is in force.
 
+    The holder of an unsettled claim may have an order on its way, so it gets a
+    new token, too: of two orders with the same token, either may take effect
+    last.
+
     A claim from the future does not block, since the store's clock may have
     been reset.
 
@@ -67,6 +71,7 @@
     if present is None:
         return Claim(epoch * TOKENS_PER_EPOCH + 1, holder, replaced, now)
     age = now - present.claimed_at
-    if not present.settled and 0.0 <= age < CLAIM_TTL_SECONDS:
+    blocks = not present.settled and present.holder != holder
+    if blocks and 0.0 <= age < CLAIM_TTL_SECONDS:
         return None
     return Claim(present.token + 1, holder, replaced, now)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -367,6 +367,15 @@
             "token": "the claim's number",
         },
     ),
+    EventSpec(
+        "primary_seen_by_others",
+        "other proxies reach a primary that this one is about to replace",
+        {
+            **GROUP,
+            **SERVER,
+            "proxies": "the number of proxies that it answered",
+        },
+    ),
     EventSpec(
         "servers_unknown",
         "a replacement ends since running servers may be missing from the list",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
@@ -98,10 +98,6 @@
         current = self.decode_claim(row) if row else None
         if row and current is None:
             return None
-        if current and current.holder == holder and not current.settled:
-            # The answer to an earlier write of this process was lost, or its
-            # promotion order is still unanswered.
-            return HeldClaim(current, False, epoch, asked_at)
         new_claim = next_claim(
             current, holder, replaced, image.store_seconds, epoch
         )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -1,7 +1,6 @@
 """Failover and switchover of the primary of one group."""
 
 import asyncio
-import enum
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -10,26 +9,25 @@
 from jackdawcrank.relay.claim_rows import ClaimRows, HeldClaim
 from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.connection_pool import ConnectionPool
-from jackdawcrank.relay.control_commands import StatusResult
 from jackdawcrank.relay.group_relay import GroupRelay
-from jackdawcrank.seams.commands import (
-    Demote,
-    QueryStatus,
-    ResumeReplication,
-    SuspendReplication,
+from jackdawcrank.relay.primary_witnesses import (
+    PrimarySighting,
+    PrimaryWitnesses,
 )
-from jackdawcrank.seams.promotion_service import (
-    PromotionResult,
-    PromotionService,
+from jackdawcrank.relay.successor_promotion import (
+    ReplacementResult,
+    SuccessorPromotion,
 )
+from jackdawcrank.seams.commands import Demote, QueryStatus
+from jackdawcrank.seams.promotion_service import PromotionService
 from jackdawcrank.seams.replies import ServerStatus
 from jackdawcrank.tasks import cancel_and_wait
 from jackdawcrank_policy.succession import (
     MIN_LAG_SECONDS,
     FailureKind,
-    FrozenServer,
-    NoSuccessor,
-    choose_successor,
+    PrimaryContact,
+    ReplacementWay,
+    replacement_way,
 )
 from jackdawcrank_policy.values.position import Position
 
@@ -47,13 +45,10 @@
 # switchover. Replicas lag in receiving only by the network delay.
 CATCH_UP_TIMEOUT_SECONDS = 2.0
 POLL_SECONDS = 0.05
+# Each takes up to 0.4 s if the answer is lost.
+STEP_DOWN_ATTEMPTS = 3
 # Interval at which each of about twenty proxies looks for a primary.
 PRIMARY_POLL_SECONDS = 0.3
-# An unanswered promotion order is repeated for this time, or until another
-# process holds the claim.
-PROMOTION_TIMEOUT_SECONDS = 8.0
-# Time for a promotion to take effect; at the users' sites it takes up to 1 s.
-PROMOTION_EFFECT_SECONDS = 3.0
 
 
 LEAVING = "leaving"
@@ -61,28 +56,22 @@
 REPLICAS_LAG = "replicas_lag"
 # Reasons to switch over from a healthy primary.
 PLANNED = frozenset({LEAVING, REPLICAS_LAG})
+# Reasons to ask the primary once more before it is replaced.
+LOST = frozenset({FailureKind.SILENT.value, FailureKind.REFUSING.value})
 
 TaskCoroutine = Coroutine[Any, Any, None]
 
 
-class ReplacementResult(enum.Enum):
-    """The result of an attempt to replace a primary."""
-
-    DONE = "done"
-    NOTHING_DONE = "nothing_done"
-    UNANSWERED = "unanswered"
-    """A promotion order may still take effect."""
-
-
 class GroupSuccession:
     """Monitors one group's primary and replaces it when it fails or leaves.
 
     Attributes:
       group: The group.
-      vm: This proxy's VM.
       process: The unique name of this proxy process.
       refresh_servers: Reads the table of servers; returns whether the store
         answered.
+      witnesses: Asks other proxies about the primary.
+      promotion: Compares replicas and promotes one.
       running: Whether a replacement or a probe is in progress.
       primary_missing_since: When the group lost its primary, in seconds on the
         event loop's clock; None while it has one.
@@ -99,16 +88,19 @@
         claims: ClaimRows,
         promotion_service: PromotionService,
         refresh_servers: Callable[[], Awaitable[bool]],
+        witnesses: PrimaryWitnesses,
         log: DecisionLog,
         rng: random.Random,
     ) -> None:
         self.group = group
         self.control = group.control
-        self.vm = vm
         self.process = process
         self.claims = claims
-        self.promotion_service = promotion_service
         self.refresh_servers = refresh_servers
+        self.witnesses = witnesses
+        self.promotion = SuccessorPromotion(
+            group, vm, claims, promotion_service, refresh_servers, log
+        )
         self.log = log
         self.rng = rng
         self.running = False
@@ -202,18 +194,18 @@
             return
         old_primary = self.group.primary_pool()
         old_id = old_primary.server.server_id if old_primary else ""
-        if (
-            reason == FailureKind.UNCONFIRMED.value
-            and await self.any_replica_caught_up()
-        ):
-            self.group.suspicion.commit_acknowledged()
-            return
+        answers = False
+        if reason == FailureKind.UNCONFIRMED.value:
+            caught_up = await self.caught_up_replicas()
+            if caught_up:
+                self.group.suspicion.commit_acknowledged()
+                return
+            answers = caught_up is not None
         if reason == REPLICAS_LAG and not await self.all_replicas_lag():
             self.not_before = self.loop.time() + RETRY_SECONDS
             return
-        lost = reason in (FailureKind.SILENT.value, FailureKind.REFUSING.value)
         if (
-            lost
+            reason in LOST
             and old_primary is not None
             and (await self.control.check_primary(old_primary)).alive
         ):
@@ -232,10 +224,9 @@
             reason=reason,
             token=claim.token,
         )
-        if reason in PLANNED and old_primary is not None:
-            result = await self.switch_over(held_claim, old_primary)
-        else:
-            result = await self.fail_over(held_claim, old_primary)
+        result, held_claim = await self.replace_claimed(
+            held_claim, old_primary, reason, answers
+        )
         self.failures = (
             0 if result is ReplacementResult.DONE else self.failures + 1
         )
@@ -258,296 +249,131 @@
         """
         return self.group.store_health.listing.complete(boot_seconds())
 
-    async def any_replica_caught_up(self) -> bool:
-        """Return whether a replica has received all entries of the primary."""
-        return bool(await self.caught_up_replicas())
-
-    async def all_replicas_lag(self) -> bool:
-        """Return whether every caught-up replica serves stale data."""
-        caught_up = await self.caught_up_replicas()
-        return bool(caught_up) and all(
-            one.lag_seconds >= MIN_LAG_SECONDS for one in caught_up
-        )
-
-    async def caught_up_replicas(self) -> list[ServerStatus]:
-        """Return the status of replicas that received all primary entries."""
-        primary = self.group.primary_pool()
-        if primary is None:
-            return []
-        primary_reply = await self.control.send_command(primary, QueryStatus())
-        if primary_reply.status is None:
-            return []
-        replicas = self.replicas(primary)
-        answers = await self.control.send_to_all(replicas, QueryStatus())
-        return [
-            one.status
-            for one in answers
-            if one.status is not None
-            and one.status.received >= primary_reply.status.received
-        ]
-
-    def replicas(self, primary: ConnectionPool | None) -> list[ConnectionPool]:
-        """Return the pools of all servers except the primary."""
-        return [one for one in self.group.pools.values() if one is not primary]
-
-    def next_term(self) -> int:
-        """Return a term above every term that this proxy has seen."""
-        terms = [
-            one.condition.position.term
-            for one in self.group.pools.values()
-            if one.condition.position
-        ]
-        newest = self.group.watermarks.newest()
-        if newest:
-            terms.append(newest.position.term)
-        return max(terms, default=0) + 1
-
-    async def fail_over(
-        self, held_claim: HeldClaim, old_primary: ConnectionPool | None
-    ) -> "ReplacementResult":
-        """Suspend the replicas and promote the most advanced one.
-
-        Args:
-          held_claim: The claim on the succession.
-          old_primary: The failed primary, or None.
-        """
-        claim = held_claim.claim
-        # Changes arrive late over other VMs, so the list is read once more
-        # under the claim.
-        refreshed = await self.refresh_servers()
-        if not refreshed or not self.listing_complete():
-            self.log.event("servers_unknown", group=self.group.name)
-            return ReplacementResult.NOTHING_DONE
-        replicas = self.replicas(old_primary)
-        if await self.adopt_primary(replicas):
-            return ReplacementResult.NOTHING_DONE
-        answers = await self.control.send_to_all(replicas, QueryStatus())
-        term = max(
-            [self.next_term()]
-            + [one.status.term + 1 for one in answers if one.status]
-        )
-        answers = await self.control.send_to_all(
-            replicas, SuspendReplication(term)
-        )
-        choice = choose_successor(
-            [
-                FrozenServer(
-                    one.pool.server.server_id,
-                    one.status.received,
-                    one.pool.server.leaving,
-                    self.group.proxy_location.distance(
-                        one.pool.server.data_center
-                    ),
-                )
-                for one in answers
-                if one.status is not None
-            ],
-            [
-                *(one.server.server_id for one in replicas),
-                *self.group.recently_missing(),
-            ],
-            self.group.group.confirming_replicas,
-        )
-        if isinstance(choice, NoSuccessor):
-            self.log.event(
-                "no_successor",
-                group=self.group.name,
-                missing=choice.missing,
-                token=claim.token,
-            )
-            if held_claim.earlier_orders_settled:
-                await self.resume_replication(held_claim, answers, term)
-            # Otherwise the replicas stay suspended: an order of an earlier
-            # claim may still take effect, and commits acknowledged from now
-            # on would be lost. The next attempt continues from this state.
-            return ReplacementResult.NOTHING_DONE
-        self.log.event(
-            "successor_chosen",
-            group=self.group.name,
-            server=choice.server_id,
-            position=str(choice.position),
-            token=claim.token,
-            term=term,
-        )
-        return await self.promote_server(
-            held_claim, choice.server_id, answers, term
-        )
-
-    async def resume_replication(
+    async def replace_claimed(
         self,
         held_claim: HeldClaim,
-        suspended: list[StatusResult],
-        term: int,
-    ) -> None:
-        """Let replicas receive entries again that were suspended by this claim.
-
-        If this process was silent for too long, another one may have suspended
-        them since, to compare their positions. They must not confirm commits of
-        the old primary then.
+        old_primary: ConnectionPool | None,
+        reason: str,
+        answers: bool,
+    ) -> tuple[ReplacementResult, HeldClaim]:
+        """Replace the primary under a claim.
 
         Args:
-          held_claim: The claim under which they were suspended.
-          suspended: The answers of the suspended replicas.
-          term: The term under which they were suspended.
-        """
-        pools = [one.pool for one in suspended if one.status is not None]
-        if held_claim.may_have_lapsed():
-            pools = await self.suspended_under(pools, term)
-        await self.control.send_to_all(pools, ResumeReplication())
-
-    async def suspended_under(
-        self, pools: list[ConnectionPool], term: int
-    ) -> list[ConnectionPool]:
-        """Return the servers that were not suspended under a later term.
+          held_claim: The claim on the succession.
+          old_primary: The primary, or None.
+          reason: Why it must be replaced.
+          answers: Whether a failed primary still answers this process.
 
-        Args:
-          pools: The servers.
-          term: The term.
+        Returns:
+          The result, and the claim that is held now.
         """
-        answers = await self.control.send_to_all(pools, QueryStatus())
-        later = [
-            one.pool.server.server_id
-            for one in answers
-            if one.status and one.status.suspended_at_term > term
-        ]
-        if later:
-            self.log.event(
-                "resume_left_out",
-                group=self.group.name,
-                servers=later,
-                term=term,
-            )
-        return [
-            one.pool
-            for one in answers
-            if one.status and one.status.suspended_at_term <= term
-        ]
+        contact = PrimaryContact.DIRECT if answers else PrimaryContact.NONE
+        if reason in PLANNED and old_primary is not None:
+            check = await self.control.check_primary(old_primary)
+            if check.alive and not check.is_primary:
+                # Another process has replaced it in the meantime.
+                await self.find_primary()
+                return ReplacementResult.NOTHING_DONE, held_claim
+            if check.alive:
+                contact = PrimaryContact.DIRECT
+        sightings: list[PrimarySighting] = []
+        if contact is PrimaryContact.NONE:
+            sightings = await self.sightings(old_primary)
+            if sightings:
+                contact = PrimaryContact.PEER
+        way = replacement_way(
+            contact,
+            confirms_commits=contact is not PrimaryContact.DIRECT
+            or reason != FailureKind.UNCONFIRMED.value,
+            listing_complete=self.listing_complete(),
+            failures=self.failures,
+        )
+        if way is ReplacementWay.STEP_DOWN:
+            result = await self.switch_over(held_claim, old_primary, sightings)
+            return result, held_claim
+        if way is ReplacementWay.WAIT:
+            self.log.event("servers_unknown", group=self.group.name)
+            return ReplacementResult.NOTHING_DONE, held_claim
+        return await self.promotion.elect(
+            held_claim, old_primary, contact is PrimaryContact.DIRECT
+        )
 
-    async def promote_server(
-        self,
-        held_claim: HeldClaim,
-        server_id: str,
-        suspended: list[StatusResult],
-        term: int,
-    ) -> "ReplacementResult":
-        """Order the promotion of a server, repeatedly until it is answered.
+    async def sightings(
+        self, old_primary: ConnectionPool | None
+    ) -> list[PrimarySighting]:
+        """Return which other proxies reach the primary.
 
         Args:
-          held_claim: The claim on the succession.
-          server_id: The server to promote.
-          suspended: The suspended replicas, resumed once the server is
-            primary.
-          term: The term under which they were suspended.
+          old_primary: The primary, or None if this proxy knows none.
         """
-        deadline = self.loop.time() + PROMOTION_TIMEOUT_SECONDS
-        claim = held_claim.claim
-        unanswered = False
-        while self.claims.in_force(held_claim):
-            answer = await self.promotion_service.promote(
-                self.group.name, server_id, self.vm, claim.token
-            )
+        server_id = old_primary.server.server_id if old_primary else ""
+        found = await self.witnesses.sightings(self.group, server_id)
+        if found:
             self.log.event(
-                "promotion_ordered",
+                "primary_seen_by_others",
                 group=self.group.name,
-                server=server_id,
-                token=claim.token,
-                answer=answer.value,
+                server=found[0].server_id,
+                proxies=len(found),
             )
-            if answer is PromotionResult.DONE:
-                return await self.await_promotion(
-                    held_claim, server_id, suspended, term
-                )
-            unanswered = unanswered or answer is PromotionResult.UNANSWERED
-            if answer is PromotionResult.REFUSED:
-                # Another process holds the claim, or the server is down.
-                break
-            if self.loop.time() >= deadline:
-                break
-            await asyncio.sleep(2 * POLL_SECONDS)
-        return (
-            ReplacementResult.UNANSWERED
-            if unanswered
-            else ReplacementResult.NOTHING_DONE
-        )
+        return found
 
-    async def await_promotion(
-        self,
-        held_claim: HeldClaim,
-        server_id: str,
-        suspended: list[StatusResult],
-        term: int,
-    ) -> "ReplacementResult":
-        """Wait until a promoted server is primary, then resume the others.
+    async def all_replicas_lag(self) -> bool:
+        """Return whether every caught-up replica serves stale data."""
+        caught_up = await self.caught_up_replicas()
+        if not caught_up:
+            return False
+        return all(one.lag_seconds >= MIN_LAG_SECONDS for one in caught_up)
 
-        The order takes effect some time after its answer. Until then the old
-        server is still the primary, and a resumed replica would confirm commits
-        that the new primary lacks.
+    async def caught_up_replicas(self) -> list[ServerStatus] | None:
+        """Return the status of replicas that received all primary entries.
 
-        Args:
-          held_claim: The claim.
-          server_id: The promoted server.
-          suspended: The suspended replicas.
-          term: The term under which they were suspended.
+        None if the primary does not answer.
         """
-        deadline = self.loop.time() + PROMOTION_EFFECT_SECONDS
-        pool = self.group.pools.get(server_id)
-        while pool is not None and self.loop.time() < deadline:
-            if (await self.control.check_primary(pool)).is_primary:
-                self.group.promoted(server_id)
-                others = [one for one in suspended if one.pool is not pool]
-                await self.resume_replication(held_claim, others, term)
-                return ReplacementResult.DONE
-            await asyncio.sleep(POLL_SECONDS)
-            pool = self.group.pools.get(server_id)
-        self.log.event(
-            "promotion_without_effect",
-            group=self.group.name,
-            server=server_id,
-        )
-        return ReplacementResult.UNANSWERED
+        primary = self.group.primary_pool()
+        if primary is None:
+            return None
+        primary_reply = await self.control.send_command(primary, QueryStatus())
+        if primary_reply.status is None:
+            return None
+        replicas = self.promotion.replicas(primary)
+        answers = await self.control.send_to_all(replicas, QueryStatus())
+        return [
+            one.status
+            for one in answers
+            if one.status is not None
+            and one.status.received >= primary_reply.status.received
+        ]
 
     async def find_primary(self) -> bool:
         """Ask all servers for the primary; return whether one was found.
 
         The servers' reports in the store may be outdated or unreachable.
         """
-        return await self.adopt_primary(list(self.group.pools.values()))
-
-    async def adopt_primary(self, pools: list[ConnectionPool]) -> bool:
-        """Record the server that is the primary; return whether one was found.
-
-        Args:
-          pools: The servers to ask.
-        """
-        answers = await self.control.check_primaries(pools)
-        leading = [
-            (one.term, one.pool.server.server_id)
-            for one in answers
-            if one.is_primary
-        ]
-        if not leading:
-            return False
-        self.group.promoted(max(leading)[1])
-        return True
+        pools = list(self.group.pools.values())
+        return await self.promotion.adopt_primary(pools)
 
     async def switch_over(
-        self, held_claim: HeldClaim, old_primary: ConnectionPool
-    ) -> "ReplacementResult":
-        """Switch over from a primary that is reachable.
-
-        Fails over if the primary does not confirm that it stepped down.
+        self,
+        held_claim: HeldClaim,
+        old_primary: ConnectionPool | None,
+        sightings: list[PrimarySighting],
+    ) -> ReplacementResult:
+        """Switch over from a primary that this or another proxy reaches.
 
         Args:
           held_claim: The claim on the succession.
-          old_primary: The primary.
+          old_primary: The primary; None if only other proxies know it.
+          sightings: The proxies that reach the primary; empty if this one does.
         """
-        primary_reply = await self.control.check_primary(old_primary)
-        if primary_reply.alive and not primary_reply.is_primary:
-            # Another process has replaced it in the meantime.
-            await self.find_primary()
+        if old_primary is None and sightings:
+            old_primary = self.group.pools.get(sightings[0].server_id)
+        if old_primary is None:
+            # It is listed for the other proxies only.
             return ReplacementResult.NOTHING_DONE
         staying_replicas = [
-            one for one in self.replicas(old_primary) if not one.server.leaving
+            one
+            for one in self.promotion.replicas(old_primary)
+            if not one.server.leaving
         ]
         answers = await self.control.send_to_all(
             staying_replicas, QueryStatus()
@@ -556,13 +382,10 @@
             self.log.event("no_successor", group=self.group.name, missing=())
             return ReplacementResult.NOTHING_DONE
         terms = [one.status.term + 1 for one in answers if one.status]
-        term = max([self.next_term(), *terms])
-        step_down_reply = await self.control.send_command(
-            old_primary, Demote(term)
-        )
-        if step_down_reply.status is None:
-            return await self.fail_over(held_claim, old_primary)
-        final_position = step_down_reply.status.received
+        term = max([self.promotion.next_term(), *terms])
+        final_position = await self.step_down(old_primary, sightings, term)
+        if final_position is None:
+            return ReplacementResult.NOTHING_DONE
         server_id = await self.wait_for_position(
             staying_replicas, final_position
         )
@@ -573,7 +396,38 @@
                 position=str(final_position),
             )
             server_id = old_primary.server.server_id
-        return await self.promote_server(held_claim, server_id, [], term)
+        return await self.promotion.promote(held_claim, server_id)
+
+    async def step_down(
+        self,
+        old_primary: ConnectionPool,
+        sightings: list[PrimarySighting],
+        term: int,
+    ) -> Position | None:
+        """Let a primary step down; return its last position.
+
+        The command is repeated, since its answer may be lost.
+
+        Args:
+          old_primary: The primary.
+          sightings: The proxies that reach it; empty if this one does.
+          term: The term under which it steps down.
+
+        Returns:
+          The position; None if the primary is not known to have stepped down.
+        """
+        for attempt in range(STEP_DOWN_ATTEMPTS):
+            if sightings:
+                position = await self.witnesses.step_down(
+                    sightings[attempt % len(sightings)], self.group.name, term
+                )
+                if position is not None:
+                    return position
+                continue
+            answer = await self.control.send_command(old_primary, Demote(term))
+            if answer.status is not None and not answer.status.leads:
+                return answer.status.received
+        return None
 
     async def wait_for_position(
         self, pools: list[ConnectionPool], position: Position
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_messages.py
@@ -38,6 +38,8 @@
     RESEND = 15
     ALLOWANCE_REQUEST = 16
     ALLOWANCE_GRANT = 17
+    CHECK_PRIMARY = 18
+    STEP_DOWN = 19
 
 
 Fields = list[typing.Any]
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_server.py
@@ -7,6 +7,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay import primary_requests
 from jackdawcrank.relay.account_limits import AccountLimits
 from jackdawcrank.relay.caller_session import INTERNAL_ERROR
 from jackdawcrank.relay.directory import Directory
@@ -166,6 +167,8 @@
             Kind.BEGIN: self.open,
             Kind.RUN_IN_TRANSACTION: self.run_in_transaction,
             Kind.COMMIT: self.commit,
+            Kind.CHECK_PRIMARY: self.check_primary,
+            Kind.STEP_DOWN: self.step_down,
         }
         try:
             await handlers[kind](number, fields)
@@ -252,6 +255,24 @@
         reply = await transaction.commit(session, fields[1])
         self.answer(number, session, reply)
 
+    async def check_primary(self, number: int, fields: Fields) -> None:
+        """Answer whether a group's primary answers this proxy."""
+        group, server_id = fields
+        directory = self.home.directory
+        reply = await primary_requests.check_primary(
+            directory, group, server_id
+        )
+        self.answer(number, None, reply)
+
+    async def step_down(self, number: int, fields: Fields) -> None:
+        """Let a primary step down for a proxy that cannot reach it."""
+        group, server_id, term = fields
+        directory = self.home.directory
+        reply = await primary_requests.step_down(
+            directory, group, server_id, term
+        )
+        self.answer(number, None, reply)
+
 
 def unknown_group_reply() -> Reply:
     """Return the reply for a group whose servers this home does not know."""
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/home_stream.py
@@ -257,6 +257,23 @@
 
         Aborts the connection if the home does not answer in time.
 
+        Args:
+          number: The request number.
+          body: The encoded request.
+          timeout_seconds: The longest wait, in seconds.
+        """
+        answer = await self.wait_answer(number, body, timeout_seconds)
+        if isinstance(answer, HomeLost) and answer.sent:
+            # A home that did not answer this request may not answer later
+            # ones either.
+            self.abort()
+        return answer
+
+    async def wait_answer(
+        self, number: int, body: bytes, timeout_seconds: float
+    ) -> HomeAnswer | HomeLost:
+        """Send a request and wait for the answer; keep the connection.
+
         Args:
           number: The request number.
           body: The encoded request.
@@ -266,15 +283,13 @@
             return HomeLost(sent=False)
         future: asyncio.Future[HomeAnswer] = self.loop.create_future()
         self.pending[number] = future
-        self.send(body)
-        done, _ = await asyncio.wait([future], timeout=timeout_seconds)
+        try:
+            self.send(body)
+            done, _ = await asyncio.wait([future], timeout=timeout_seconds)
+        finally:
+            self.pending.pop(number, None)
         if done and not future.cancelled():
             return future.result()
-        self.pending.pop(number, None)
-        if not done:
-            # A home that did not answer this request may not answer later
-            # ones either.
-            self.abort()
         return HomeLost(sent=True)
 
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/homes.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/homes.py
@@ -1,5 +1,7 @@
 """Selection of the home proxies of each group."""
 
+from collections.abc import Iterable
+
 from jackdawcrank.relay.member_rows import MemberRows
 from jackdawcrank_policy.catalog import ServedGroup
 from jackdawcrank_policy.homes import (
@@ -71,6 +73,28 @@
         homes = self.ranked_members(group)[: plan.per_region]
         return any(one.vm == self.rows.own.vm for one in homes)
 
+    def other_homes(self, group: ServedGroup) -> list[Member]:
+        """Return a group's homes in all regions, without this VM.
+
+        Args:
+          group: The group.
+        """
+        members = self.rows.members
+        plan = self.plan(group)
+        homes: Iterable[Member] = members.values()
+        if not plan.on_every_vm:
+            regions = {one.region for one in members.values()}
+            homes = [
+                home
+                for region in sorted(regions)
+                for home in region_homes(
+                    group.name,
+                    [one for one in members.values() if one.region == region],
+                    plan.per_region,
+                )
+            ]
+        return [one for one in homes if one.vm != self.rows.own.vm]
+
     def forwarding_targets(
         self, group: ServedGroup, account: str = ""
     ) -> list[Member]:
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -27,6 +27,7 @@
     MemberRows,
 )
 from jackdawcrank.relay.pool_maintenance import PoolMaintenance
+from jackdawcrank.relay.primary_witnesses import PrimaryWitnesses
 from jackdawcrank.relay.queue_reports import QueueReports, directory_pools
 from jackdawcrank.relay.relay_settings import RelaySettings
 from jackdawcrank.relay.statement_runner import StatementRunner
@@ -219,6 +220,7 @@
             ClaimRows(self.store, self.store_health, log),
             promotion_service,
             self.followers[declaration_decoder.servers_table].refresh,
+            PrimaryWitnesses(self.router, rng),
             log,
             rng,
         )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/succession_service.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/succession_service.py
@@ -7,6 +7,7 @@
 from jackdawcrank.relay.claim_rows import ClaimRows
 from jackdawcrank.relay.directory import Directory
 from jackdawcrank.relay.group_succession import GroupSuccession
+from jackdawcrank.relay.primary_witnesses import PrimaryWitnesses
 from jackdawcrank.seams.promotion_service import PromotionService
 from jackdawcrank.timer.subscription import Subscription
 from jackdawcrank.timer.timer import Timer
@@ -22,6 +23,7 @@
       directory: Holds the groups.
       refresh_servers: Reads the table of servers; returns whether the store
         answered.
+      witnesses: Asks other proxies about primaries.
       successions: The succession of each group by the group's name.
     """
 
@@ -33,6 +35,7 @@
         claims: ClaimRows,
         promotion_service: PromotionService,
         refresh_servers: Callable[[], Awaitable[bool]],
+        witnesses: PrimaryWitnesses,
         log: DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -42,6 +45,7 @@
         self.claims = claims
         self.promotion_service = promotion_service
         self.refresh_servers = refresh_servers
+        self.witnesses = witnesses
         self.log = log
         self.rng = rng
         self.successions: dict[str, GroupSuccession] = {}
@@ -82,6 +86,7 @@
                     self.claims,
                     self.promotion_service,
                     self.refresh_servers,
+                    self.witnesses,
                     self.log,
                     self.rng,
                 )
--- /dev/null
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/successor_promotion.py
@@ -0,0 +1,438 @@
+"""Comparison of a group's replicas and promotion of one of them."""
+
+import asyncio
+import enum
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.relay.claim_rows import ClaimRows, HeldClaim
+from jackdawcrank.relay.connection_pool import ConnectionPool
+from jackdawcrank.relay.control_commands import StatusResult
+from jackdawcrank.relay.group_relay import GroupRelay
+from jackdawcrank.seams.commands import (
+    Demote,
+    QueryStatus,
+    ResumeReplication,
+    SuspendReplication,
+)
+from jackdawcrank.seams.promotion_service import (
+    PromotionResult,
+    PromotionService,
+)
+from jackdawcrank_policy.succession import (
+    CompareReplicas,
+    Election,
+    FrozenServer,
+    NoSuccessor,
+)
+
+POLL_SECONDS = 0.05
+# An unanswered promotion order is repeated for this time, or until another
+# process holds the claim.
+PROMOTION_TIMEOUT_SECONDS = 8.0
+# Time for a promotion to take effect; at the users' sites it takes up to 1 s.
+PROMOTION_EFFECT_SECONDS = 3.0
+
+
+class ReplacementResult(enum.Enum):
+    """The result of an attempt to replace a primary."""
+
+    DONE = "done"
+    NOTHING_DONE = "nothing_done"
+    UNANSWERED = "unanswered"
+    """A promotion order may still take effect."""
+
+
+@attrs.define
+class Comparison:
+    """The replicas that were suspended under a claim.
+
+    Attributes:
+      term: The term under which they were suspended; 0 before the first
+        comparison.
+      suspended: Their answers.
+    """
+
+    term: int = 0
+    suspended: list[StatusResult] = attrs.Factory(list)
+
+
+class SuccessorPromotion:
+    """Promotes servers of one group under a claim.
+
+    Attributes:
+      group: The group.
+      vm: This proxy's VM.
+      claims: The claims on the succession.
+      promotion_service: Takes the orders.
+      refresh_servers: Reads the table of servers; returns whether the store
+        answered.
+      log: Records decisions.
+    """
+
+    def __init__(
+        self,
+        group: GroupRelay,
+        vm: str,
+        claims: ClaimRows,
+        promotion_service: PromotionService,
+        refresh_servers: Callable[[], Awaitable[bool]],
+        log: DecisionLog,
+    ) -> None:
+        self.group = group
+        self.control = group.control
+        self.vm = vm
+        self.claims = claims
+        self.promotion_service = promotion_service
+        self.refresh_servers = refresh_servers
+        self.log = log
+        self.loop = asyncio.get_running_loop()
+
+    def replicas(self, primary: ConnectionPool | None) -> list[ConnectionPool]:
+        """Return the pools of all servers except the primary.
+
+        Args:
+          primary: The pool of the primary, or None if there is none.
+        """
+        old_id = primary.server.server_id if primary else ""
+        return [
+            pool
+            for server_id, pool in self.group.pools.items()
+            if server_id != old_id
+        ]
+
+    def next_term(self) -> int:
+        """Return a term above every term that this proxy has seen."""
+        terms = [
+            one.condition.position.term
+            for one in self.group.pools.values()
+            if one.condition.position
+        ]
+        newest = self.group.watermarks.newest()
+        if newest:
+            terms.append(newest.position.term)
+        return max(terms, default=0) + 1
+
+    async def elect(
+        self,
+        held_claim: HeldClaim,
+        old_primary: ConnectionPool | None,
+        old_primary_answers: bool,
+    ) -> tuple[ReplacementResult, HeldClaim]:
+        """Promote the most advanced replica.
+
+        Args:
+          held_claim: The claim on the succession.
+          old_primary: The failed primary, or None.
+          old_primary_answers: Whether it still answers this process.
+
+        Returns:
+          The result, and the claim that is held now.
+        """
+        if await self.adopt_primary(self.replicas(old_primary)):
+            return ReplacementResult.NOTHING_DONE, held_claim
+        election = Election(self.group.group.confirming_replicas)
+        comparison = Comparison()
+        deadline = self.loop.time() + PROMOTION_TIMEOUT_SECONDS
+        unanswered = False
+        while self.claims.in_force(held_claim):
+            step = election.step(
+                one.server.server_id for one in self.replicas(old_primary)
+            )
+            if isinstance(step, CompareReplicas):
+                refreshed = await self.compare(
+                    election, comparison, old_primary
+                )
+                if refreshed or unanswered:
+                    continue
+                # Without the store, servers that joined are not known.
+                step = NoSuccessor(())
+            if isinstance(step, NoSuccessor):
+                await self.give_up(held_claim, step, comparison, unanswered)
+                break
+            if old_primary and old_primary_answers:
+                # It may confirm commits until the promotion takes effect.
+                old_primary_answers = False
+                await self.control.send_command(
+                    old_primary, Demote(comparison.term)
+                )
+                election.primary_stepped_down()
+                continue
+            if step.needs_new_token:
+                renewed = await self.claims.claim(
+                    self.group.name,
+                    held_claim.claim.holder,
+                    held_claim.claim.replaced,
+                )
+                if renewed is None:
+                    break
+                held_claim = renewed
+                election.token_replaced()
+            server_id = step.successor.server_id
+            self.log.event(
+                "successor_chosen",
+                group=self.group.name,
+                server=server_id,
+                position=str(step.successor.position),
+                token=held_claim.claim.token,
+                term=comparison.term,
+            )
+            answer = await self.order(held_claim, server_id)
+            election.order_sent(server_id)
+            if answer is PromotionResult.DONE:
+                result = await self.await_promotion(
+                    held_claim,
+                    server_id,
+                    comparison.suspended,
+                    comparison.term,
+                )
+                return result, held_claim
+            unanswered = unanswered or answer is PromotionResult.UNANSWERED
+            if (
+                answer is PromotionResult.REFUSED
+                or self.loop.time() >= deadline
+            ):
+                # Another process holds the claim, or the server is down.
+                break
+            await asyncio.sleep(2 * POLL_SECONDS)
+        result = (
+            ReplacementResult.UNANSWERED
+            if unanswered
+            else ReplacementResult.NOTHING_DONE
+        )
+        return result, held_claim
+
+    async def compare(
+        self,
+        election: Election,
+        comparison: Comparison,
+        old_primary: ConnectionPool | None,
+    ) -> bool:
+        """Suspend all replicas and compare what they have received.
+
+        The table of servers is read meanwhile, so that a replica that joins is
+        listed as early as possible.
+
+        Args:
+          election: Receives the result.
+          comparison: Receives the suspended replicas.
+          old_primary: The failed primary, or None.
+
+        Returns:
+          Whether the store answered.
+        """
+        replicas = self.replicas(old_primary)
+        if not comparison.term:
+            answers = await self.control.send_to_all(replicas, QueryStatus())
+            terms = [one.status.term + 1 for one in answers if one.status]
+            comparison.term = max([self.next_term(), *terms])
+        answers, refreshed = await asyncio.gather(
+            self.control.send_to_all(
+                replicas, SuspendReplication(comparison.term)
+            ),
+            self.refresh_servers(),
+        )
+        comparison.suspended = [one for one in answers if one.status]
+        election.compared_replicas(
+            [one.server.server_id for one in replicas],
+            [
+                FrozenServer(
+                    one.pool.server.server_id,
+                    one.status.received,
+                    one.pool.server.leaving,
+                    self.group.proxy_location.distance(
+                        one.pool.server.data_center
+                    ),
+                )
+                for one in answers
+                if one.status is not None
+            ],
+            self.group.recently_missing(),
+        )
+        return refreshed
+
+    async def give_up(
+        self,
+        held_claim: HeldClaim,
+        step: NoSuccessor,
+        comparison: Comparison,
+        unanswered: bool,
+    ) -> None:
+        """End an election without a successor.
+
+        Args:
+          held_claim: The claim on the succession.
+          step: Why there is none.
+          comparison: The suspended replicas.
+          unanswered: Whether an order of this election may still take effect.
+        """
+        self.log.event(
+            "no_successor",
+            group=self.group.name,
+            missing=step.missing,
+            token=held_claim.claim.token,
+        )
+        if held_claim.earlier_orders_settled and not unanswered:
+            await self.resume_replication(
+                held_claim, comparison.suspended, comparison.term
+            )
+        # Otherwise the replicas stay suspended: an earlier order may still take
+        # effect, and commits acknowledged from now on would be lost. The next
+        # attempt continues from this state.
+
+    async def promote(
+        self, held_claim: HeldClaim, server_id: str
+    ) -> ReplacementResult:
+        """Promote a server that has all that the old primary had.
+
+        The old primary has stepped down, so no commit is confirmed meanwhile.
+
+        Args:
+          held_claim: The claim on the succession.
+          server_id: The server.
+        """
+        deadline = self.loop.time() + PROMOTION_TIMEOUT_SECONDS
+        unanswered = False
+        while self.claims.in_force(held_claim):
+            answer = await self.order(held_claim, server_id)
+            if answer is PromotionResult.DONE:
+                return await self.await_promotion(held_claim, server_id, [], 0)
+            unanswered = unanswered or answer is PromotionResult.UNANSWERED
+            if (
+                answer is PromotionResult.REFUSED
+                or self.loop.time() >= deadline
+            ):
+                break
+            await asyncio.sleep(2 * POLL_SECONDS)
+        return (
+            ReplacementResult.UNANSWERED
+            if unanswered
+            else ReplacementResult.NOTHING_DONE
+        )
+
+    async def order(
+        self, held_claim: HeldClaim, server_id: str
+    ) -> PromotionResult:
+        """Send one promotion order.
+
+        Args:
+          held_claim: The claim on the succession.
+          server_id: The server to promote.
+        """
+        token = held_claim.claim.token
+        answer = await self.promotion_service.promote(
+            self.group.name, server_id, self.vm, token
+        )
+        self.log.event(
+            "promotion_ordered",
+            group=self.group.name,
+            server=server_id,
+            token=token,
+            answer=answer.value,
+        )
+        return answer
+
+    async def await_promotion(
+        self,
+        held_claim: HeldClaim,
+        server_id: str,
+        suspended: list[StatusResult],
+        term: int,
+    ) -> ReplacementResult:
+        """Wait until a promoted server is primary, then resume the others.
+
+        The order takes effect some time after its answer. Until then the old
+        server is still the primary, and a resumed replica would confirm commits
+        that the new primary lacks.
+
+        Args:
+          held_claim: The claim.
+          server_id: The promoted server.
+          suspended: The suspended replicas.
+          term: The term under which they were suspended.
+        """
+        deadline = self.loop.time() + PROMOTION_EFFECT_SECONDS
+        pool = self.group.pools.get(server_id)
+        while pool is not None and self.loop.time() < deadline:
+            if (await self.control.check_primary(pool)).is_primary:
+                self.group.promoted(server_id)
+                others = [one for one in suspended if one.pool is not pool]
+                await self.resume_replication(held_claim, others, term)
+                return ReplacementResult.DONE
+            await asyncio.sleep(POLL_SECONDS)
+            pool = self.group.pools.get(server_id)
+        self.log.event(
+            "promotion_without_effect",
+            group=self.group.name,
+            server=server_id,
+        )
+        return ReplacementResult.UNANSWERED
+
+    async def resume_replication(
+        self,
+        held_claim: HeldClaim,
+        suspended: list[StatusResult],
+        term: int,
+    ) -> None:
+        """Let replicas receive entries again that were suspended by this claim.
+
+        If this process was silent for too long, another one may have suspended
+        them since, to compare their positions. They must not confirm commits of
+        the old primary then.
+
+        Args:
+          held_claim: The claim under which they were suspended.
+          suspended: The answers of the suspended replicas.
+          term: The term under which they were suspended.
+        """
+        pools = [one.pool for one in suspended if one.status is not None]
+        if held_claim.may_have_lapsed():
+            pools = await self.suspended_under(pools, term)
+        await self.control.send_to_all(pools, ResumeReplication())
+
+    async def suspended_under(
+        self, pools: list[ConnectionPool], term: int
+    ) -> list[ConnectionPool]:
+        """Return the servers that were not suspended under a later term.
+
+        Args:
+          pools: The servers.
+          term: The term.
+        """
+        answers = await self.control.send_to_all(pools, QueryStatus())
+        later = [
+            one.pool.server.server_id
+            for one in answers
+            if one.status and one.status.suspended_at_term > term
+        ]
+        if later:
+            self.log.event(
+                "resume_left_out",
+                group=self.group.name,
+                servers=later,
+                term=term,
+            )
+        return [
+            one.pool
+            for one in answers
+            if one.status and one.status.suspended_at_term <= term
+        ]
+
+    async def adopt_primary(self, pools: list[ConnectionPool]) -> bool:
+        """Record the server that is the primary; return whether one was found.
+
+        Args:
+          pools: The servers to ask.
+        """
+        answers = await self.control.check_primaries(pools)
+        leading = [
+            (one.term, one.pool.server.server_id)
+            for one in answers
+            if one.is_primary
+        ]
+        if not leading:
+            return False
+        self.group.promoted(max(leading)[1])
+        return True
