--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/caller_session.py
@@ -151,6 +151,37 @@
             Problem.MALFORMED, "the transaction failed; roll it back first"
         )
 
+    def give_up(self, statement: Statement) -> Reply:
+        """Return the final reply to a statement whose run was cancelled.
+
+        An open transaction is rolled back.
+
+        Args:
+          statement: The statement.
+        """
+        detail = "the process stops"
+        if isinstance(statement, Commit):
+            self.discard_transaction()
+            self.end_transaction()
+            return self.refuse(Problem.IN_DOUBT, detail)
+        if self.state is SessionState.IN_TRANSACTION:
+            self.fail_transaction()
+            return self.refuse(Problem.ROLLED_BACK, detail)
+        if self.writes(statement):
+            return self.refuse(Problem.IN_DOUBT, detail)
+        return self.refuse(Problem.BUSY, detail)
+
+    def writes(self, statement: Statement) -> bool:
+        """Return whether a statement may change data.
+
+        Args:
+          statement: The statement.
+        """
+        if isinstance(statement, ExecutePrepared):
+            prepared = self.context.statements.get(statement.name)
+            return prepared is not None and prepared.writes
+        return isinstance(statement, DataStatement) and statement.writes
+
     def reply_after_error(self, request_id: str, error: Exception) -> Reply:
         """Return the reply to a statement that an unexpected error ended.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/graceful_shutdown.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/graceful_shutdown.py
@@ -10,7 +10,8 @@
 # The load balancer checks a VM once a second and removes it after two failed
 # checks.
 LOAD_BALANCER_SECONDS = 2.3
-# Share of the grace period that open transactions have to end.
+# Share of the grace period that open transactions have to end. New work is
+# refused after it.
 TRANSACTION_GRACE_SHARE = 0.5
 # Time kept to roll back and answer before the process is killed.
 ROLLBACK_RESERVE_SECONDS = 0.8
@@ -18,7 +19,10 @@
 
 
 class GracefulShutdown:
-    """Sheds new callers, keeps serving, then closes idle sessions.
+    """Sheds new callers, keeps serving, then ends sessions.
+
+    Sessions end between two requests. Statements that still run at the end of
+    the grace period get their final answer before the process stops.
 
     Attributes:
       front: Accepts callers.
@@ -47,17 +51,17 @@
         start = loop.time()
         self.home_server.leave()
         self.log.event("leaving", sessions=len(self.front.sessions()))
-        await asyncio.sleep(
-            min(
-                LOAD_BALANCER_SECONDS,
-                self.grace_seconds * TRANSACTION_GRACE_SHARE,
-            )
-        )
+        transaction_grace = self.grace_seconds * TRANSACTION_GRACE_SHARE
+        await asyncio.sleep(min(LOAD_BALANCER_SECONDS, transaction_grace))
+        self.front.close_after_answers()
         deadline = start + self.grace_seconds - ROLLBACK_RESERVE_SECONDS
         while loop.time() < deadline:
+            if loop.time() >= start + transaction_grace:
+                self.front.refuse_new_work()
             if not self.front.close_idle() and not self.home_server.busy():
                 break
             await asyncio.sleep(POLL_SECONDS)
+        await self.front.give_up()
         open_transactions = sum(
             one.state is not SessionState.IDLE for one in self.front.sessions()
         )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/seams/caller_frontend.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/caller_frontend.py
@@ -36,6 +36,23 @@
           sessions: Creates the callers' sessions.
         """
 
+    def close_after_answers(self) -> None:
+        """Close each connection from now on with the answer that makes it idle.
+
+        A caller that sends one statement after the other has a request on its
+        way nearly always, so its connection is never found idle.
+        """
+
+    def refuse_new_work(self) -> None:
+        """Refuse from now on what could go to another process.
+
+        New connections, statements outside a transaction and new transactions
+        are refused at once.
+        """
+
+    async def give_up(self) -> None:
+        """End all running statements, each with its final answer."""
+
     def close_idle(self) -> int:
         """Close connections without input, running statement or transaction.
 
