--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
@@ -175,7 +175,7 @@
         """
         try:
             return Claim(**json.loads(row.value))
-        except (TypeError, ValueError) as error:
+        except (RecursionError, TypeError, ValueError) as error:
             self.log.event("claim_unreadable", key=row.key, detail=str(error))
             return None
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/member_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/member_rows.py
@@ -42,6 +42,15 @@
 # random time within this, so that 700 VMs do not write within a second.
 REWRITE_SPREAD_SECONDS = 10.0
 MAX_PORT = 65_535
+# What decoding a malformed row may raise.
+MALFORMED = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 @attrs.frozen
@@ -206,7 +215,7 @@
             body = json.loads(row.value)
             written_at = float(body.pop("written_at"))
             member = read_member(body)
-        except (TypeError, ValueError, KeyError, AttributeError) as error:
+        except MALFORMED as error:
             self.log.event("member_unreadable", key=row.key, detail=repr(error))
             self.member_rows.pop(row.key, None)
             return
--- a/packages/jackdawcrank-proxy/tests/relay/test_member_rows.py
+++ b/packages/jackdawcrank-proxy/tests/relay/test_member_rows.py
@@ -51,6 +51,8 @@
         {"host": None},
         {"unknown": 1},
         {"written_at": "yesterday"},
+        {"written_at": 10**400},
+        {"capacity": 10**400},
     ],
 )
 def test_malformed_row_names_no_member(
@@ -58,3 +60,9 @@
 ) -> None:
     members.apply_image(TableSnapshot((row(**changes),), 5, 100.0))
     assert set(members.members) == {"vm1"}
+
+
+def test_deeply_nested_row_names_no_member(members: MemberRows) -> None:
+    nested = StoredRow("vm3", b"[" * 4_000, 3)
+    members.apply_image(TableSnapshot((nested, row()), 5, 100.0))
+    assert set(members.members) == {"vm1", "vm2"}
