--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/placement/__init__.py
@@ -5,6 +5,7 @@
     ServerCandidate,
     choose_server,
 )
+from jackdawcrank_policy.placement.drain_window import DrainWindow
 from jackdawcrank_policy.placement.outcome_health import (
     HealthChange,
     OutcomeHealth,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "Distance",
+    "DrainWindow",
     "HealthChange",
     "OutcomeHealth",
     "ServerCandidate",
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/directory.py
@@ -1,6 +1,7 @@
 """The declarations in force and the listed backend servers."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -38,6 +39,7 @@
       groups: The declared groups by name.
       health_by_outcome: Whether servers that fail more reads than their peers
         get fewer of them.
+      drain_seconds: How long a leaving server may receive statements.
       servers_known: Whether the servers were read at least once.
       servers_loaded: Set once the servers were read.
       ready: Set once declarations are in force.
@@ -52,7 +54,9 @@
         homes: Homes,
         log: DecisionLog,
         health_by_outcome: bool = False,
+        drain_seconds: float = math.inf,
     ) -> None:
+        self.drain_seconds = drain_seconds
         self.health_by_outcome = health_by_outcome
         self.declaration_decoder = declaration_decoder
         self.opener = opener
@@ -268,6 +272,7 @@
                     self.homes,
                     self.log,
                     self.health_by_outcome,
+                    self.drain_seconds,
                 )
             else:
                 existing.group = group
@@ -279,6 +284,16 @@
             self.groups.pop(name).apply_servers(())
         self.ready.set()
 
+    def set_drain_seconds(self, drain_seconds: float) -> None:
+        """Set how long a leaving server may receive statements.
+
+        Args:
+          drain_seconds: The time in seconds.
+        """
+        self.drain_seconds = drain_seconds
+        for group in self.groups.values():
+            group.drain_seconds = drain_seconds
+
     def cut_off(self) -> bool:
         """Return whether another proxy can serve callers better.
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 from collections.abc import Iterable
 
 from jackdawcrank.decisions import DecisionLog
@@ -17,6 +18,7 @@
 from jackdawcrank_policy.catalog import ListedServer, ServedGroup
 from jackdawcrank_policy.placement import (
     Distance,
+    DrainWindow,
     HealthChange,
     OutcomeHealth,
     ServerCandidate,
@@ -86,6 +88,8 @@
       opener: Opens connections.
       proxy_location: The location of this proxy.
       pools: The connection pool of each server, by server id.
+      drain_seconds: How long a leaving server may receive statements.
+      drain_windows: Since when servers leave, by server id.
       declared_version: Version of the configuration in force.
       watermarks: Positions that prove how fresh a replica's data is.
       health: Health of the servers by the outcomes of reads.
@@ -119,7 +123,10 @@
         homes: Homes,
         log: DecisionLog,
         health_by_outcome: bool = False,
+        drain_seconds: float = math.inf,
     ) -> None:
+        self.drain_seconds = drain_seconds
+        self.drain_windows: dict[str, DrainWindow] = {}
         self.health_by_outcome = health_by_outcome
         self.homes = homes
         self.store_health = store_health
@@ -160,6 +167,7 @@
                 if not pool.server.leaving:
                     self.missing_servers[server_id] = self.loop.time()
                 self.primary_since.pop(server_id, None)
+                del self.drain_windows[server_id]
                 self.log.event("server_gone", group=self.name, server=server_id)
         for server in listed.values():
             self.apply_server(server)
@@ -172,6 +180,8 @@
           server: The report.
         """
         pool = self.pools.get(server.server_id)
+        window = self.drain_windows.setdefault(server.server_id, DrainWindow())
+        window.reported(server.leaving, pool is not None, self.loop.time())
         if pool is None:
             pool = ConnectionPool(
                 server,
@@ -330,11 +340,19 @@
                 continue
 
     def usable_primary(self) -> ConnectionPool | None:
-        """Return the primary's pool, or None if its failure is suspected."""
+        """Return the primary's pool, or None if it may get no new work.
+
+        It may not if its failure is suspected, or if it has been leaving for
+        nearly its drain time.
+        """
         pool = self.primary_pool()
         if pool is None:
             return None
-        suspicion = self.suspicion.suspected_failure(self.loop.time())
+        now = self.loop.time()
+        window = self.drain_windows[pool.server.server_id]
+        if not window.accepts_work(now, self.drain_seconds):
+            return None
+        suspicion = self.suspicion.suspected_failure(now)
         return (
             pool
             if suspicion in (FailureKind.NONE, FailureKind.UNCONFIRMED)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -127,6 +127,7 @@
             self.homes,
             log,
             settings.health_by_outcome,
+            settings.drain_seconds,
         )
         self.followers = {
             follower.table: follower
@@ -253,6 +254,7 @@
         decoder = self.directory.declaration_decoder
         self.apply_account_bounds()
         self.followers[decoder.servers_table].set_limit(applied.drain_seconds)
+        self.directory.set_drain_seconds(applied.drain_seconds)
         return changed - RELOADABLE
 
     def apply_account_bounds(self) -> None:
