--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/primary_witnesses.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/primary_witnesses.py
@@ -14,6 +14,9 @@
 from jackdawcrank_policy.homes import Member
 from jackdawcrank_policy.values.position import Position
 
+# The time for all proxies together. One that reaches the primary answers after
+# a connection and two requests, of at most 80 ms each; others are not waited for.
+INQUIRY_TIMEOUT_SECONDS = 0.4
 # Exceeds the time in which a proxy asks a server (0.4 s) by the longest round
 # trip between proxies (80 ms) and a delayed packet.
 WITNESS_TIMEOUT_SECONDS = 0.6
@@ -66,7 +69,7 @@
         ]
         found: list[PrimarySighting] = []
         try:
-            async with asyncio.timeout(WITNESS_TIMEOUT_SECONDS):
+            async with asyncio.timeout(INQUIRY_TIMEOUT_SECONDS):
                 for next_answer in asyncio.as_completed(tasks):
                     sighting = await next_answer
                     if sighting is not None:
