--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
@@ -7,6 +7,7 @@
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.store_health import StoreHealth
+from jackdawcrank.seams.malformed import MALFORMED
 from jackdawcrank.seams.metadata_store import (
     MetadataStore,
     RowWritten,
@@ -175,7 +176,7 @@
         """
         try:
             return Claim(**json.loads(row.value))
-        except (RecursionError, TypeError, ValueError) as error:
+        except MALFORMED as error:
             self.log.event("claim_unreadable", key=row.key, detail=str(error))
             return None
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/member_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/member_rows.py
@@ -9,6 +9,7 @@
 import attrs
 
 from jackdawcrank.decisions import DecisionLog
+from jackdawcrank.seams.malformed import MALFORMED
 from jackdawcrank.seams.metadata_store import (
     MetadataStore,
     RevisionConflict,
@@ -42,15 +43,6 @@
 # random time within this, so that 700 VMs do not write within a second.
 REWRITE_SPREAD_SECONDS = 10.0
 MAX_PORT = 65_535
-# What decoding a malformed row may raise.
-MALFORMED = (
-    AttributeError,
-    KeyError,
-    OverflowError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
 
 
 @attrs.frozen
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/successor_promotion.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/successor_promotion.py
@@ -37,6 +37,17 @@
     """A promotion order may still take effect."""
 
 
+def result_without_answer(unanswered: bool) -> ReplacementResult:
+    """Return the result of an attempt in which no order was confirmed.
+
+    Args:
+      unanswered: Whether an order got no answer.
+    """
+    if unanswered:
+        return ReplacementResult.UNANSWERED
+    return ReplacementResult.NOTHING_DONE
+
+
 class SuccessorPromotion:
     """Promotes servers of one group under a claim.
 
@@ -148,12 +159,7 @@
                 # Another process holds the claim, or the server is down.
                 break
             await asyncio.sleep(2 * POLL_SECONDS)
-        result = (
-            ReplacementResult.UNANSWERED
-            if unanswered
-            else ReplacementResult.NOTHING_DONE
-        )
-        return result, held_claim
+        return result_without_answer(unanswered), held_claim
 
     async def give_up(
         self,
@@ -206,11 +212,7 @@
             ):
                 break
             await asyncio.sleep(2 * POLL_SECONDS)
-        return (
-            ReplacementResult.UNANSWERED
-            if unanswered
-            else ReplacementResult.NOTHING_DONE
-        )
+        return result_without_answer(unanswered)
 
     async def order(
         self, held_claim: HeldClaim, server_id: str
--- a/platform/src/jackdawcrank_platform/malformed.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/seams/malformed.py
@@ -1,4 +1,4 @@
-"""What decoding malformed JSON may raise."""
+"""Errors that decoding malformed JSON may raise."""
 
 MALFORMED = (
     AttributeError,
