--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/claim.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/claim.py
@@ -50,9 +50,13 @@
     replaced: str,
     now: float,
     epoch: int = 0,
+    acted_at: float | None = None,
 ) -> Claim | None:
     """Return the claim to write, or None while another claim is in force.
 
+    A holder that gave an order shortly before another one claimed does not
+    claim again at once, so that two holders never act in turn.
+
     The holder of an unsettled claim may have an order on its way, so it gets a
     new token, too: of two orders with the same token, either may take effect
     last.
@@ -67,11 +71,16 @@
       now: The current time in seconds on the store's clock.
       epoch: The store's epoch. Claims of earlier epochs may be lost, so the
         tokens of an epoch begin above all that an earlier one can have given.
+      acted_at: When the holder last gave an order, in seconds on the store's
+        clock; None if it gave none.
     """
     if present is None:
         return Claim(epoch * TOKENS_PER_EPOCH + 1, holder, replaced, now)
     age = now - present.claimed_at
-    blocks = not present.settled and present.holder != holder
+    other = present.holder != holder
+    if other and acted_at is not None and now - acted_at < CLAIM_TTL_SECONDS:
+        return None
+    blocks = not present.settled and other
     if blocks and 0.0 <= age < CLAIM_TTL_SECONDS:
         return None
     return Claim(present.token + 1, holder, replaced, now)
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/claim_rows.py
@@ -59,6 +59,8 @@
       store: Holds one row per group.
       store_health: Records answers and failures of the store.
       log: Records decisions.
+      acted_at: When this process last gave an order for each group, in seconds
+        since boot.
     """
 
     def __init__(
@@ -67,6 +69,15 @@
         self.store = store
         self.store_health = store_health
         self.log = log
+        self.acted_at: dict[str, float] = {}
+
+    def record_order(self, group: str) -> None:
+        """Record that this process has given an order.
+
+        Args:
+          group: The group's name.
+        """
+        self.acted_at[group] = boot_seconds()
 
     async def claim(
         self, group: str, holder: str, replaced: str
@@ -99,8 +110,16 @@
         current = self.decode_claim(row) if row else None
         if row and current is None:
             return None
+        acted_at = self.acted_at.get(group)
         new_claim = next_claim(
-            current, holder, replaced, image.store_seconds, epoch
+            current,
+            holder,
+            replaced,
+            image.store_seconds,
+            epoch,
+            None
+            if acted_at is None
+            else image.store_seconds - (boot_seconds() - acted_at),
         )
         if new_claim is None:
             return None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/successor_promotion.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/successor_promotion.py
@@ -227,6 +227,7 @@
         answer = await self.promotion_service.promote(
             self.group.name, server_id, self.vm, token
         )
+        self.claims.record_order(self.group.name)
         self.log.event(
             "promotion_ordered",
             group=self.group.name,
