--- a/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_server.py
+++ b/packages/jackdawcrank-standins/src/jackdawcrank_standins/users_platform/line_server.py
@@ -198,6 +198,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection."""
+        if not self.running:
+            # It was being accepted when the server crashed.
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         self.open_connections += 1
         try:
