--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/__init__.py
@@ -26,10 +26,10 @@
     FailureKind,
     PrimarySuspicion,
 )
-from jackdawcrank_policy.succession.replacement_way import (
+from jackdawcrank_policy.succession.replacement_strategy import (
     PrimaryContact,
-    ReplacementWay,
-    replacement_way,
+    ReplacementStrategy,
+    replacement_strategy,
 )
 from jackdawcrank_policy.succession.switchover_trigger import (
     MIN_LAG_SECONDS,
@@ -51,11 +51,11 @@
     "OrderPromotion",
     "PrimaryContact",
     "PrimarySuspicion",
-    "ReplacementWay",
+    "ReplacementStrategy",
     "Successor",
     "SwitchoverTrigger",
     "claim_key",
     "choose_successor",
     "next_claim",
-    "replacement_way",
+    "replacement_strategy",
 ]
--- a/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/replacement_way.py
+++ b/packages/jackdawcrank-policy/src/jackdawcrank_policy/succession/replacement_strategy.py
@@ -14,8 +14,8 @@
     """No proxy that was asked reaches it, or the group has none."""
 
 
-class ReplacementWay(enum.Enum):
-    """A way to replace a primary."""
+class ReplacementStrategy(enum.Enum):
+    """A strategy for replacing a primary."""
 
     WAIT = "wait"
     """Nothing is done yet."""
@@ -30,12 +30,12 @@
 MAX_STEP_DOWN_FAILURES = 2
 
 
-def replacement_way(
+def replacement_strategy(
     contact: PrimaryContact,
     confirms_commits: bool,
     listing_complete: bool,
     failures: int,
-) -> ReplacementWay:
+) -> ReplacementStrategy:
     """Return how a primary is replaced without losing a commit.
 
     A primary that some proxy reaches may confirm commits with a replica that
@@ -54,5 +54,9 @@
         and confirms_commits
         and failures < MAX_STEP_DOWN_FAILURES
     ):
-        return ReplacementWay.STEP_DOWN
-    return ReplacementWay.COMPARE if listing_complete else ReplacementWay.WAIT
+        return ReplacementStrategy.STEP_DOWN
+    return (
+        ReplacementStrategy.COMPARE
+        if listing_complete
+        else ReplacementStrategy.WAIT
+    )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/decisions/event_spec.py
@@ -368,12 +368,12 @@
         },
     ),
     EventSpec(
-        "primary_seen_by_others",
+        "primary_reached_by_peers",
         "other proxies reach a primary that this one is about to replace",
         {
             **GROUP,
             **SERVER,
-            "proxies": "the number of proxies that it answered",
+            "peers": "the number of proxies that it answered, two at most",
         },
     ),
     EventSpec(
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/group_succession.py
@@ -10,11 +10,12 @@
 from jackdawcrank.relay.clocks import boot_seconds
 from jackdawcrank.relay.connection_pool import ConnectionPool
 from jackdawcrank.relay.group_relay import GroupRelay
-from jackdawcrank.relay.primary_witnesses import (
-    PrimarySighting,
-    PrimaryWitnesses,
+from jackdawcrank.relay.indirect_probes import (
+    IndirectProbes,
+    ReachingPeer,
 )
 from jackdawcrank.relay.successor_promotion import (
+    POLL_SECONDS,
     ReplacementResult,
     SuccessorPromotion,
 )
@@ -27,8 +28,8 @@
     MIN_LAG_SECONDS,
     FailureKind,
     PrimaryContact,
-    ReplacementWay,
-    replacement_way,
+    ReplacementStrategy,
+    replacement_strategy,
 )
 
 # Proxies that detect the same failure wait for a random time, so that one of
@@ -41,7 +42,6 @@
 # A group without a known primary may have one whose report has not arrived
 # yet.
 MISSING_PRIMARY_SECONDS = 1.0
-POLL_SECONDS = 0.05
 # Interval at which each of about twenty proxies looks for a primary.
 PRIMARY_POLL_SECONDS = 0.3
 
@@ -63,9 +63,7 @@
     Attributes:
       group: The group.
       process: The unique name of this proxy process.
-      refresh_servers: Reads the table of servers; returns whether the store
-        answered.
-      witnesses: Asks other proxies about the primary.
+      indirect_probes: Probes the primary through other proxies.
       promotion: Elects and promotes servers.
       switchover: Replaces a primary that some proxy reaches.
       running: Whether a replacement or a probe is in progress.
@@ -84,7 +82,7 @@
         claims: ClaimRows,
         promotion_service: PromotionService,
         refresh_servers: Callable[[], Awaitable[bool]],
-        witnesses: PrimaryWitnesses,
+        indirect_probes: IndirectProbes,
         log: DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -92,12 +90,13 @@
         self.control = group.control
         self.process = process
         self.claims = claims
-        self.refresh_servers = refresh_servers
-        self.witnesses = witnesses
+        self.indirect_probes = indirect_probes
         self.promotion = SuccessorPromotion(
             group, vm, claims, promotion_service, refresh_servers, log
         )
-        self.switchover = Switchover(group, self.promotion, witnesses, log)
+        self.switchover = Switchover(
+            group, self.promotion, indirect_probes, log
+        )
         self.log = log
         self.rng = rng
         self.running = False
@@ -191,13 +190,13 @@
             return
         old_primary = self.group.primary_pool()
         old_id = old_primary.server.server_id if old_primary else ""
-        answers = False
+        primary_answers = False
         if reason == FailureKind.UNCONFIRMED.value:
             caught_up = await self.caught_up_replicas()
             if caught_up:
                 self.group.suspicion.commit_acknowledged()
                 return
-            answers = caught_up is not None
+            primary_answers = caught_up is not None
         if reason == REPLICAS_LAG and not await self.all_replicas_lag():
             self.not_before = self.loop.time() + RETRY_SECONDS
             return
@@ -222,7 +221,7 @@
             token=claim.token,
         )
         result, held_claim = await self.replace_claimed(
-            held_claim, old_primary, reason, answers
+            held_claim, old_primary, reason, primary_answers
         )
         self.failures = (
             0 if result is ReplacementResult.DONE else self.failures + 1
@@ -251,7 +250,7 @@
         held_claim: HeldClaim,
         old_primary: ConnectionPool | None,
         reason: str,
-        answers: bool,
+        primary_answers: bool,
     ) -> tuple[ReplacementResult, HeldClaim]:
         """Replace the primary under a claim.
 
@@ -259,12 +258,14 @@
           held_claim: The claim on the succession.
           old_primary: The primary, or None.
           reason: Why it must be replaced.
-          answers: Whether a failed primary still answers this process.
+          primary_answers: Whether a failed primary still answers this process.
 
         Returns:
           The result, and the claim that is held now.
         """
-        contact = PrimaryContact.DIRECT if answers else PrimaryContact.NONE
+        contact = (
+            PrimaryContact.DIRECT if primary_answers else PrimaryContact.NONE
+        )
         if reason in PLANNED and old_primary is not None:
             check = await self.control.check_primary(old_primary)
             if check.alive and not check.is_primary:
@@ -273,46 +274,46 @@
                 return ReplacementResult.NOTHING_DONE, held_claim
             if check.alive:
                 contact = PrimaryContact.DIRECT
-        sightings: list[PrimarySighting] = []
+        reaching_peers: list[ReachingPeer] = []
         if contact is PrimaryContact.NONE:
-            sightings = await self.sightings(old_primary)
-            if sightings:
+            reaching_peers = await self.reaching_peers(old_primary)
+            if reaching_peers:
                 contact = PrimaryContact.PEER
-        way = replacement_way(
+        strategy = replacement_strategy(
             contact,
             confirms_commits=contact is not PrimaryContact.DIRECT
             or reason != FailureKind.UNCONFIRMED.value,
             listing_complete=self.listing_complete(),
             failures=self.failures,
         )
-        if way is ReplacementWay.STEP_DOWN:
+        if strategy is ReplacementStrategy.STEP_DOWN:
             result = await self.switchover.run(
-                held_claim, old_primary, sightings
+                held_claim, old_primary, reaching_peers
             )
             return result, held_claim
-        if way is ReplacementWay.WAIT:
+        if strategy is ReplacementStrategy.WAIT:
             self.log.event("servers_unknown", group=self.group.name)
             return ReplacementResult.NOTHING_DONE, held_claim
         return await self.promotion.elect(
             held_claim, old_primary, contact is PrimaryContact.DIRECT
         )
 
-    async def sightings(
+    async def reaching_peers(
         self, old_primary: ConnectionPool | None
-    ) -> list[PrimarySighting]:
-        """Return which other proxies reach the primary.
+    ) -> list[ReachingPeer]:
+        """Return other proxies that reach the primary.
 
         Args:
           old_primary: The primary, or None if this proxy knows none.
         """
         server_id = old_primary.server.server_id if old_primary else ""
-        found = await self.witnesses.sightings(self.group, server_id)
+        found = await self.indirect_probes.reaching_peers(self.group, server_id)
         if found:
             self.log.event(
-                "primary_seen_by_others",
+                "primary_reached_by_peers",
                 group=self.group.name,
                 server=found[0].server_id,
-                proxies=len(found),
+                peers=len(found),
             )
         return found
 
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/primary_witnesses.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/indirect_probes.py
@@ -1,4 +1,4 @@
-"""Other proxies that may reach a primary which this one cannot reach."""
+"""Probes of a primary through other proxies that may reach it."""
 
 import asyncio
 import random
@@ -16,19 +16,19 @@
 
 # The time for all proxies together. One that reaches the primary answers after
 # a connection and two requests, of at most 80 ms each; others are not waited for.
-INQUIRY_TIMEOUT_SECONDS = 0.4
+PROBE_TIMEOUT_SECONDS = 0.4
 # Exceeds the time in which a proxy asks a server (0.4 s) by the longest round
 # trip between proxies (80 ms) and a delayed packet.
-WITNESS_TIMEOUT_SECONDS = 0.6
+PEER_TIMEOUT_SECONDS = 0.6
 # A second proxy lets the primary step down if the first one does not answer.
-ENOUGH_SIGHTINGS = 2
+ENOUGH_PEERS = 2
 # Bounds the streams that one inquiry opens.
-MAX_WITNESSES = 24
+MAX_PEERS = 24
 
 
 @attrs.frozen
-class PrimarySighting:
-    """A primary that answered another proxy.
+class ReachingPeer:
+    """A proxy that a primary answers.
 
     Attributes:
       server_id: The primary.
@@ -39,8 +39,8 @@
     stream: HomeStream
 
 
-class PrimaryWitnesses:
-    """Asks the other homes of a group about its primary.
+class IndirectProbes:
+    """Probes primaries through the other homes of their groups.
 
     Attributes:
       router: Holds the streams to other proxies.
@@ -51,9 +51,9 @@
         self.router = router
         self.rng = rng
 
-    async def sightings(
+    async def reaching_peers(
         self, group: GroupRelay, server_id: str
-    ) -> list[PrimarySighting]:
+    ) -> list[ReachingPeer]:
         """Return a few proxies that get answers of a group's primary.
 
         Args:
@@ -61,20 +61,20 @@
           server_id: The primary; empty for the one that each proxy knows.
         """
         homes = self.router.homes.other_homes(group.group)
-        if len(homes) > MAX_WITNESSES:
-            homes = self.rng.sample(homes, MAX_WITNESSES)
+        if len(homes) > MAX_PEERS:
+            homes = self.rng.sample(homes, MAX_PEERS)
         tasks = [
             asyncio.create_task(self.ask(one, group.name, server_id))
             for one in homes
         ]
-        found: list[PrimarySighting] = []
+        found: list[ReachingPeer] = []
         try:
-            async with asyncio.timeout(INQUIRY_TIMEOUT_SECONDS):
+            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 for next_answer in asyncio.as_completed(tasks):
-                    sighting = await next_answer
-                    if sighting is not None:
-                        found.append(sighting)
-                    if len(found) >= ENOUGH_SIGHTINGS:
+                    peer = await next_answer
+                    if peer is not None:
+                        found.append(peer)
+                    if len(found) >= ENOUGH_PEERS:
                         break
         except TimeoutError:
             # Proxies that did not answer are cut off themselves, or down.
@@ -85,23 +85,23 @@
 
     async def ask(
         self, member: Member, group: str, server_id: str
-    ) -> PrimarySighting | None:
-        """Return the primary that answered a proxy, or None."""
+    ) -> ReachingPeer | None:
+        """Return a proxy if the primary answers it, or None."""
         stream = await self.router.connected_stream(member)
         if stream is None:
             return None
         reply = await self.request(stream, Kind.CHECK_PRIMARY, group, server_id)
         if reply is None or reply.problem is not None:
             return None
-        return PrimarySighting(reply.detail, stream)
+        return ReachingPeer(reply.detail, stream)
 
     async def step_down(
-        self, sighting: PrimarySighting, group: str, term: int
+        self, peer: ReachingPeer, group: str, term: int
     ) -> Position | None:
         """Let a primary step down through the proxy that reaches it.
 
         Args:
-          sighting: The primary and the proxy.
+          peer: The proxy that reaches the primary.
           group: The group's name.
           term: The term under which it steps down.
 
@@ -110,7 +110,7 @@
           stepped down.
         """
         reply = await self.request(
-            sighting.stream, Kind.STEP_DOWN, group, sighting.server_id, term
+            peer.stream, Kind.STEP_DOWN, group, peer.server_id, term
         )
         if reply is None or reply.problem is not None:
             return None
@@ -122,6 +122,6 @@
         """Return a proxy's reply, or None if none came in time."""
         number = stream.next_number()
         answer = await stream.wait_answer(
-            number, pack(number, kind, *fields), WITNESS_TIMEOUT_SECONDS
+            number, pack(number, kind, *fields), PEER_TIMEOUT_SECONDS
         )
         return answer.reply if isinstance(answer, HomeAnswer) else None
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/relay_proxy.py
@@ -21,13 +21,13 @@
 from jackdawcrank.relay.home_server import HomeServer
 from jackdawcrank.relay.homes import Homes
 from jackdawcrank.relay.idle_transactions import IdleTransactions
+from jackdawcrank.relay.indirect_probes import IndirectProbes
 from jackdawcrank.relay.member_rows import (
     DISCOVERY_SECONDS,
     MEMBERS_TABLE,
     MemberRows,
 )
 from jackdawcrank.relay.pool_maintenance import PoolMaintenance
-from jackdawcrank.relay.primary_witnesses import PrimaryWitnesses
 from jackdawcrank.relay.queue_reports import QueueReports, directory_pools
 from jackdawcrank.relay.relay_settings import RelaySettings
 from jackdawcrank.relay.statement_runner import StatementRunner
@@ -221,7 +221,7 @@
             ClaimRows(self.store, self.store_health, log),
             promotion_service,
             self.followers[declaration_decoder.servers_table].refresh,
-            PrimaryWitnesses(self.router, rng),
+            IndirectProbes(self.router, rng),
             log,
             rng,
         )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/succession_service.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/succession_service.py
@@ -7,7 +7,7 @@
 from jackdawcrank.relay.claim_rows import ClaimRows
 from jackdawcrank.relay.directory import Directory
 from jackdawcrank.relay.group_succession import GroupSuccession
-from jackdawcrank.relay.primary_witnesses import PrimaryWitnesses
+from jackdawcrank.relay.indirect_probes import IndirectProbes
 from jackdawcrank.seams.promotion_service import PromotionService
 from jackdawcrank.timer.subscription import Subscription
 from jackdawcrank.timer.timer import Timer
@@ -23,7 +23,7 @@
       directory: Holds the groups.
       refresh_servers: Reads the table of servers; returns whether the store
         answered.
-      witnesses: Asks other proxies about primaries.
+      indirect_probes: Probes primaries through other proxies.
       successions: The succession of each group by the group's name.
     """
 
@@ -35,7 +35,7 @@
         claims: ClaimRows,
         promotion_service: PromotionService,
         refresh_servers: Callable[[], Awaitable[bool]],
-        witnesses: PrimaryWitnesses,
+        indirect_probes: IndirectProbes,
         log: DecisionLog,
         rng: random.Random,
     ) -> None:
@@ -45,7 +45,7 @@
         self.claims = claims
         self.promotion_service = promotion_service
         self.refresh_servers = refresh_servers
-        self.witnesses = witnesses
+        self.indirect_probes = indirect_probes
         self.log = log
         self.rng = rng
         self.successions: dict[str, GroupSuccession] = {}
@@ -86,7 +86,7 @@
                     self.claims,
                     self.promotion_service,
                     self.refresh_servers,
-                    self.witnesses,
+                    self.indirect_probes,
                     self.log,
                     self.rng,
                 )
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/successor_promotion.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/successor_promotion.py
@@ -4,6 +4,8 @@
 import enum
 from collections.abc import Awaitable, Callable
 
+import attrs
+
 from jackdawcrank.decisions import DecisionLog
 from jackdawcrank.relay.claim_rows import ClaimRows, HeldClaim
 from jackdawcrank.relay.connection_pool import ConnectionPool
@@ -37,15 +39,35 @@
     """A promotion order may still take effect."""
 
 
-def result_without_answer(unanswered: bool) -> ReplacementResult:
-    """Return the result of an attempt in which no order was confirmed.
+@attrs.define
+class OrderAttempts:
+    """Orders that are repeated until one is accepted.
 
-    Args:
-      unanswered: Whether an order got no answer.
+    Attributes:
+      deadline: When to stop repeating, in seconds on the event loop's clock.
+      unanswered: Whether an order got no answer, so that it may still take
+        effect.
     """
-    if unanswered:
-        return ReplacementResult.UNANSWERED
-    return ReplacementResult.NOTHING_DONE
+
+    deadline: float
+    unanswered: bool = False
+
+    def may_repeat(self, answer: PromotionResult, now: float) -> bool:
+        """Record the answer to an order; return whether to repeat the order.
+
+        Args:
+          answer: The answer.
+          now: The current time in seconds.
+        """
+        self.unanswered |= answer is PromotionResult.UNANSWERED
+        # Refused: another process holds the claim, or the server is down.
+        return answer is not PromotionResult.REFUSED and now < self.deadline
+
+    def result(self) -> ReplacementResult:
+        """Return the result if no order was accepted."""
+        if self.unanswered:
+            return ReplacementResult.UNANSWERED
+        return ReplacementResult.NOTHING_DONE
 
 
 class SuccessorPromotion:
@@ -102,20 +124,21 @@
         comparison = ReplicaComparison(
             self.group, old_primary, self.refresh_servers, self.log
         )
-        deadline = self.loop.time() + PROMOTION_TIMEOUT_SECONDS
-        unanswered = False
+        attempts = OrderAttempts(self.loop.time() + PROMOTION_TIMEOUT_SECONDS)
         while self.claims.in_force(held_claim):
             step = election.step(
                 one.server.server_id for one in comparison.replicas()
             )
             if isinstance(step, CompareReplicas):
                 refreshed = await comparison.compare(election)
-                if refreshed or unanswered:
+                if refreshed or attempts.unanswered:
                     continue
                 # Without the store, servers that joined are not known.
                 step = NoSuccessor(())
             if isinstance(step, NoSuccessor):
-                await self.give_up(held_claim, step, comparison, unanswered)
+                await self.give_up(
+                    held_claim, step, comparison, attempts.unanswered
+                )
                 break
             if old_primary and old_primary_answers:
                 # It may confirm commits until the promotion takes effect.
@@ -151,15 +174,10 @@
                 if result is ReplacementResult.DONE:
                     await comparison.resume(held_claim, server_id)
                 return result, held_claim
-            unanswered = unanswered or answer is PromotionResult.UNANSWERED
-            if (
-                answer is PromotionResult.REFUSED
-                or self.loop.time() >= deadline
-            ):
-                # Another process holds the claim, or the server is down.
+            if not attempts.may_repeat(answer, self.loop.time()):
                 break
             await asyncio.sleep(2 * POLL_SECONDS)
-        return result_without_answer(unanswered), held_claim
+        return attempts.result(), held_claim
 
     async def give_up(
         self,
@@ -199,20 +217,15 @@
           held_claim: The claim on the succession.
           server_id: The server.
         """
-        deadline = self.loop.time() + PROMOTION_TIMEOUT_SECONDS
-        unanswered = False
+        attempts = OrderAttempts(self.loop.time() + PROMOTION_TIMEOUT_SECONDS)
         while self.claims.in_force(held_claim):
             answer = await self.order(held_claim, server_id)
             if answer is PromotionResult.DONE:
                 return await self.await_promotion(server_id)
-            unanswered = unanswered or answer is PromotionResult.UNANSWERED
-            if (
-                answer is PromotionResult.REFUSED
-                or self.loop.time() >= deadline
-            ):
+            if not attempts.may_repeat(answer, self.loop.time()):
                 break
             await asyncio.sleep(2 * POLL_SECONDS)
-        return result_without_answer(unanswered)
+        return attempts.result()
 
     async def order(
         self, held_claim: HeldClaim, server_id: str
--- a/packages/jackdawcrank-proxy/src/jackdawcrank/relay/switchover.py
+++ b/packages/jackdawcrank-proxy/src/jackdawcrank/relay/switchover.py
@@ -6,9 +6,9 @@
 from jackdawcrank.relay.claim_rows import HeldClaim
 from jackdawcrank.relay.connection_pool import ConnectionPool
 from jackdawcrank.relay.group_relay import GroupRelay
-from jackdawcrank.relay.primary_witnesses import (
-    PrimarySighting,
-    PrimaryWitnesses,
+from jackdawcrank.relay.indirect_probes import (
+    IndirectProbes,
+    ReachingPeer,
 )
 from jackdawcrank.relay.successor_promotion import (
     POLL_SECONDS,
@@ -31,7 +31,7 @@
     Attributes:
       group: The group.
       promotion: Promotes servers.
-      witnesses: Reaches primaries through other proxies.
+      indirect_probes: Reaches primaries through other proxies.
       log: Records decisions.
     """
 
@@ -39,13 +39,13 @@
         self,
         group: GroupRelay,
         promotion: SuccessorPromotion,
-        witnesses: PrimaryWitnesses,
+        indirect_probes: IndirectProbes,
         log: DecisionLog,
     ) -> None:
         self.group = group
         self.control = group.control
         self.promotion = promotion
-        self.witnesses = witnesses
+        self.indirect_probes = indirect_probes
         self.log = log
         self.loop = asyncio.get_running_loop()
 
@@ -53,17 +53,17 @@
         self,
         held_claim: HeldClaim,
         old_primary: ConnectionPool | None,
-        sightings: list[PrimarySighting],
+        reaching_peers: list[ReachingPeer],
     ) -> ReplacementResult:
         """Switch over from a primary that this or another proxy reaches.
 
         Args:
           held_claim: The claim on the succession.
           old_primary: The primary; None if only other proxies know it.
-          sightings: The proxies that reach the primary; empty if this one does.
+          reaching_peers: The proxies that reach the primary; empty if this one does.
         """
-        if old_primary is None and sightings:
-            old_primary = self.group.pools.get(sightings[0].server_id)
+        if old_primary is None and reaching_peers:
+            old_primary = self.group.pools.get(reaching_peers[0].server_id)
         if old_primary is None:
             # It is listed for the other proxies only.
             return ReplacementResult.NOTHING_DONE
@@ -80,7 +80,7 @@
             return ReplacementResult.NOTHING_DONE
         terms = [one.status.term + 1 for one in answers if one.status]
         term = max([self.group.next_term(), *terms])
-        final_position = await self.step_down(old_primary, sightings, term)
+        final_position = await self.step_down(old_primary, reaching_peers, term)
         if final_position is None:
             return ReplacementResult.NOTHING_DONE
         server_id = await self.wait_for_position(
@@ -98,7 +98,7 @@
     async def step_down(
         self,
         old_primary: ConnectionPool,
-        sightings: list[PrimarySighting],
+        reaching_peers: list[ReachingPeer],
         term: int,
     ) -> Position | None:
         """Let a primary step down; return its last position.
@@ -107,16 +107,18 @@
 
         Args:
           old_primary: The primary.
-          sightings: The proxies that reach it; empty if this one does.
+          reaching_peers: The proxies that reach it; empty if this one does.
           term: The term under which it steps down.
 
         Returns:
           The position; None if the primary is not known to have stepped down.
         """
         for attempt in range(STEP_DOWN_ATTEMPTS):
-            if sightings:
-                position = await self.witnesses.step_down(
-                    sightings[attempt % len(sightings)], self.group.name, term
+            if reaching_peers:
+                position = await self.indirect_probes.step_down(
+                    reaching_peers[attempt % len(reaching_peers)],
+                    self.group.name,
+                    term,
                 )
                 if position is not None:
                     return position
